Add the design page, base types, internal protocol and the build

The design page fixes packages, records, messages and interfaces before the parts are built side by side. wire decodes with an archive that checks every length against the remaining input: cereal's own binary archive allocates the stated length first.

--- /dev/null
+++ b/cmake/bench.cmake
@@ -0,0 +1,1 @@
+# Benchmarks.
--- /dev/null
+++ b/cmake/fakes.cmake
@@ -0,0 +1,1 @@
+# Stand-ins of the platform and the load tool.
--- /dev/null
+++ b/cmake/programs.cmake
@@ -0,0 +1,1 @@
+# Executables of the product.
--- /dev/null
+++ b/src/wire/codec.cc
@@ -0,0 +1,35 @@
+#include <cstring>
+
+#include "acaciaspring/wire.h"
+
+namespace acaciaspring::wire {
+
+namespace {
+
+const char* Describe(DecodeFault fault) {
+  switch (fault) {
+    case DecodeFault::kTruncated:
+      return "message is truncated";
+    case DecodeFault::kTrailingBytes:
+      return "message has trailing bytes";
+    case DecodeFault::kTooLong:
+      return "message states a length beyond its end";
+    case DecodeFault::kInvalid:
+      return "message is invalid";
+  }
+  return "invalid fault";
+}
+
+}  // namespace
+
+DecodeError::DecodeError(DecodeFault fault) : Error(Describe(fault)), fault_(fault) {}
+
+void InputArchive::Take(void* out, std::size_t size) {
+  if (size > data_.size()) {
+    throw DecodeError(DecodeFault::kTruncated);
+  }
+  std::memcpy(out, data_.data(), size);
+  data_.remove_prefix(size);
+}
+
+}  // namespace acaciaspring::wire
--- /dev/null
+++ b/src/wire/wire_test.cc
@@ -0,0 +1,81 @@
+#include "acaciaspring/wire.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+namespace acaciaspring::wire {
+
+namespace {
+
+CallRequest SampleCall() {
+  CallRequest call;
+  call.exchange = ExchangeId(7);
+  call.organisation = OrganisationId("hinokuni");
+  call.program = ProgramId("p");
+  call.operation = ModelCall{ModelId("m"), "[]", TokenCount(10)};
+  return call;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(messages_survive_encoding) {
+  const Message decoded = Decode<Message>(Encode(Message(SampleCall())));
+  const auto& call = std::get<CallRequest>(decoded);
+  BOOST_TEST(call.organisation.value() == "hinokuni");
+  BOOST_TEST(std::get<ModelCall>(call.operation).max_tokens.value() == 10U);
+}
+
+// A few bytes that state a huge length must not allocate that much.
+BOOST_AUTO_TEST_CASE(stated_length_beyond_the_end_is_refused) {
+  const std::string bytes = Encode(std::uint32_t{0x10000000}) + "abc";
+  BOOST_CHECK_EXCEPTION(Decode<std::string>(bytes), DecodeError, [](const DecodeError& error) {
+    return error.fault() == DecodeFault::kTooLong;
+  });
+}
+
+// Truncated or altered messages must end in DecodeError, never in a crash.
+BOOST_AUTO_TEST_CASE(damaged_messages_are_refused) {
+  const std::string whole = Encode(Message(SampleCall()));
+  for (std::size_t size = 0; size < whole.size(); ++size) {
+    BOOST_CHECK_THROW(Decode<Message>(whole.substr(0, size)), DecodeError);
+  }
+  std::mt19937 random(1);
+  for (int round = 0; round < 20000; ++round) {
+    std::string damaged = whole;
+    for (int change = 0; change < 3; ++change) {
+      damaged[random() % damaged.size()] = static_cast<char>(random());
+    }
+    try {
+      Decode<Message>(damaged);
+    } catch (const DecodeError&) {
+      continue;
+    }
+  }
+}
+
+// Replayed, reordered or altered frames must not pass.
+BOOST_AUTO_TEST_CASE(frames_are_bound_to_connection_direction_and_position) {
+  const Nonce initiator = MakeNonce();
+  const Nonce acceptor = MakeNonce();
+  FrameAuthenticator sender("key", initiator, acceptor, Direction::kToAcceptor);
+  FrameAuthenticator receiver("key", initiator, acceptor, Direction::kToAcceptor);
+  FrameAuthenticator reflected("key", initiator, acceptor, Direction::kToInitiator);
+  const std::string first = sender.Sign("one");
+  const std::string second = sender.Sign("two");
+  BOOST_TEST(!receiver.Verify(second, "two"));
+  BOOST_TEST(!receiver.Verify(first, "two"));
+  BOOST_TEST(!reflected.Verify(first, "one"));
+  BOOST_TEST(receiver.Verify(first, "one"));
+  BOOST_TEST(!receiver.Verify(first, "one"));
+  BOOST_TEST(receiver.Verify(second, "two"));
+}
+
+BOOST_AUTO_TEST_CASE(forged_datagrams_are_refused) {
+  const std::string datagram = SealDatagram("key", "payload");
+  BOOST_TEST(OpenDatagram("key", datagram).value() == "payload");
+  BOOST_TEST(!OpenDatagram("other", datagram).has_value());
+  BOOST_TEST(!OpenDatagram("key", datagram + "x").has_value());
+  BOOST_TEST(!OpenDatagram("key", "short").has_value());
+}
+
+}  // namespace acaciaspring::wire
