Resume streams by byte offset and hash of the text already received

A token index does not identify text: an answer that is generated again after a failure may differ. The hash lets the home detect that before it sends the rest.

--- a/include/acaciaspring/wire.h
+++ b/include/acaciaspring/wire.h
@@ -214,6 +214,17 @@
 using Operation =
     std::variant<ModelCall, ToolCall, CreateProgram, EndProgram, DescribeProgram, ReadHistory>;
 
+/// @brief What the caller already has of an answer: the first `bytes` bytes, which have this
+/// Hash64.
+struct ResumePoint {
+  std::uint64_t bytes = 0;
+  std::uint64_t hash = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(bytes, hash);
+  }
+};
+
 /// @brief From entry to home.
 struct CallRequest {
   ExchangeId exchange;
@@ -222,23 +233,22 @@
   IdempotencyKey key;
   Operation operation;
   std::uint32_t deadline_ms = 0;
-  /// Number of tokens the caller already has.
-  std::uint64_t resume_from = 0;
+  ResumePoint resume;
   std::string traceparent;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, organisation, program, key, operation, deadline_ms, resume_from, traceparent);
+    archive(exchange, organisation, program, key, operation, deadline_ms, resume, traceparent);
   }
 };
 
-/// @brief One token of a streamed answer; `index` counts from 0.
+/// @brief A piece of a streamed answer; `offset` is its position in the answer in bytes.
 struct CallEvent {
   ExchangeId exchange;
-  std::uint64_t index = 0;
+  std::uint64_t offset = 0;
   std::string text;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, index, text);
+    archive(exchange, offset, text);
   }
 };
 
@@ -335,6 +345,7 @@
   }
 };
 
+/// @brief One token from the endpoint; `index` counts from 0 within the attempt.
 struct DispatchEvent {
   ExchangeId exchange;
   std::uint64_t index = 0;
@@ -364,6 +375,19 @@
   }
 };
 
+/// @brief Load of an endpoint as its dispatcher sees it; sent to the daemons of the region.
+struct EndpointReport {
+  EndpointId endpoint;
+  std::uint32_t running = 0;
+  std::uint32_t queued = 0;
+  TokenCount queued_tokens;
+  bool available = true;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(endpoint, running, queued, queued_tokens, available);
+  }
+};
+
 struct StatusRequest {
   ExchangeId exchange;
   template <class Archive>
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -56,6 +56,8 @@
       return "invalid_answer";
     case FailureReason::kCancelled:
       return "cancelled";
+    case FailureReason::kAnswerChanged:
+      return "answer_changed";
   }
   return "invalid";
 }
