--- a/include/acaciaspring/base.h
+++ b/include/acaciaspring/base.h
@@ -132,7 +132,9 @@
   kRefusedByService,
   kTooLarge,
   kInvalidAnswer,
-  kCancelled
+  kCancelled,
+  /// The answer differs from the part that the caller already has; the caller must drop that part.
+  kAnswerChanged,
 };
 
 /// @brief Why it is not known whether a call took effect.
--- /dev/null
+++ b/src/program/call.cc
@@ -0,0 +1,9 @@
+#include "src/program/call.h"
+
+namespace acaciaspring::program {
+
+bool SameWork(const wire::Operation& left, const wire::Operation& right) {
+  return wire::Encode(left) == wire::Encode(right);
+}
+
+}  // namespace acaciaspring::program
--- /dev/null
+++ b/src/program/home_impl.cc
@@ -0,0 +1,458 @@
+#include "src/program/home_impl.h"
+
+#include <json/json.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciaspring::program {
+
+namespace {
+
+// Spend authorised with the creation of a program, so that its first turn needs no append of its
+// own.
+constexpr TokenCount kInitialAuthorisation{8192};
+
+NotRunReason ToNotRunReason(journal::RejectReason reason) {
+  switch (reason) {
+    case journal::RejectReason::kBudgetExhausted:
+      return NotRunReason::kBudgetExhausted;
+    case journal::RejectReason::kCallLimitReached:
+      return NotRunReason::kCallLimitReached;
+    case journal::RejectReason::kProgramEnded:
+    case journal::RejectReason::kParentEnded:
+      return NotRunReason::kProgramEnded;
+    case journal::RejectReason::kUnknownProgram:
+    case journal::RejectReason::kUnknownParent:
+      return NotRunReason::kUnknownProgram;
+    case journal::RejectReason::kKeyConflict:
+    case journal::RejectReason::kKeyExists:
+      return NotRunReason::kKeyConflict;
+    case journal::RejectReason::kUndecided:
+      return NotRunReason::kLogUnavailable;
+    default:
+      return NotRunReason::kInvalidRequest;
+  }
+}
+
+}  // namespace
+
+HomeImpl::HomeImpl(const journal::State& state, HomeOptions options)
+    : state_(state), options_(std::move(options)) {}
+
+Actions HomeImpl::TakeActions() {
+  return std::exchange(actions_, {});
+}
+
+const journal::ShardOwner* HomeImpl::OwnOwner(ShardId shard) const {
+  const journal::ShardOwner* owner = state_.OwnerOf(shard);
+  if (owner == nullptr || owner->released || owner->daemon != options_.self ||
+      owner->incarnation != options_.incarnation) {
+    return nullptr;
+  }
+  return owner;
+}
+
+const journal::Program* HomeImpl::VisibleProgram(const wire::CallRequest& request) const {
+  const journal::Program* program = state_.FindProgram(request.program);
+  if (program == nullptr || program->organisation != request.organisation) {
+    return nullptr;
+  }
+  return program;
+}
+
+void HomeImpl::OnCall(const Subscriber& from, const wire::CallRequest& request) {
+  const ShardId shard = ShardOf(request.program);
+  if (OwnOwner(shard) == nullptr) {
+    const journal::ShardOwner* owner = state_.OwnerOf(shard);
+    actions_.push_back(SendWrongOwner{from, owner == nullptr ? DaemonId() : owner->daemon,
+                                      owner == nullptr ? Epoch() : owner->epoch});
+    return;
+  }
+  const journal::Program* program = VisibleProgram(request);
+  const bool creates = std::holds_alternative<wire::CreateProgram>(request.operation);
+  if (program == nullptr && !creates) {
+    return Refuse(from, NotRunReason::kUnknownProgram);
+  }
+  if (std::holds_alternative<wire::DescribeProgram>(request.operation)) {
+    actions_.push_back(
+        SendFinished{from, Completed{}, DescribeAsJson(request.program, *program), {}});
+    return;
+  }
+  if (std::holds_alternative<wire::ReadHistory>(request.operation)) {
+    actions_.push_back(SendFinished{from, Completed{}, HistoryAsJson(*program), {}});
+    return;
+  }
+  if (AttachToActive(from, request) || Replay(from, request)) {
+    return;
+  }
+  if (!creates && program->ended && !std::holds_alternative<wire::EndProgram>(request.operation)) {
+    return Refuse(from, NotRunReason::kProgramEnded);
+  }
+  if (draining_.contains(shard)) {
+    return Refuse(from, NotRunReason::kOwnerUnavailable);
+  }
+  if (!log_available_) {
+    return Refuse(from, NotRunReason::kLogUnavailable);
+  }
+  Accept(from, request);
+}
+
+bool HomeImpl::AttachToActive(const Subscriber& from, const wire::CallRequest& request) {
+  const auto entry = programs_.find(request.program);
+  if (entry == programs_.end()) {
+    return false;
+  }
+  const auto attach = [&](Call& call) {
+    if (call.request.key != request.key || call.request.organisation != request.organisation) {
+      return false;
+    }
+    if (!SameWork(call.request.operation, request.operation)) {
+      Refuse(from, NotRunReason::kKeyConflict);
+      return true;
+    }
+    call.listeners.push_back(Listener{from, request.resume});
+    return true;
+  };
+  ProgramCalls& calls = entry->second;
+  if (calls.running.has_value() && attach(calls.running->call)) {
+    Deliver(*calls.running);
+    return true;
+  }
+  return std::any_of(calls.queue.begin(), calls.queue.end(), attach);
+}
+
+void HomeImpl::Accept(const Subscriber& from, const wire::CallRequest& request) {
+  const auto entry = programs_.try_emplace(request.program).first;
+  ProgramCalls& calls = entry->second;
+  if (calls.queue.size() >= limits_.queued_calls_per_program) {
+    return Refuse(from, NotRunReason::kQueueFull);
+  }
+  Call call;
+  call.request = request;
+  call.listeners.push_back(Listener{from, request.resume});
+  call.deadline = now_ + std::chrono::milliseconds(request.deadline_ms);
+  calls.queue.push_back(std::move(call));
+  StartNext(entry);
+}
+
+void HomeImpl::StartNext(Entry entry) {
+  ProgramCalls& calls = entry->second;
+  if (calls.running.has_value()) {
+    return;
+  }
+  if (calls.queue.empty()) {
+    programs_.erase(entry);
+    return;
+  }
+  const journal::ShardOwner* owner = OwnOwner(ShardOf(entry->first));
+  if (owner == nullptr) {
+    return Drop(entry);
+  }
+  calls.running.emplace();
+  calls.running->call = std::move(calls.queue.front());
+  calls.queue.pop_front();
+  calls.running->epoch = owner->epoch;
+  if (now_ >= calls.running->call.deadline) {
+    return Finish(entry, NotRun{NotRunReason::kDeadlineExceeded}, "", {});
+  }
+  const journal::Program* program = state_.FindProgram(entry->first);
+  const wire::Operation operation = calls.running->call.request.operation;
+  if (!std::holds_alternative<wire::CreateProgram>(operation) &&
+      (program == nullptr || program->ended) &&
+      !std::holds_alternative<wire::EndProgram>(operation)) {
+    return Finish(entry, NotRun{NotRunReason::kProgramEnded}, "", {});
+  }
+  std::visit([&](const auto& value) { Begin(entry, value); }, operation);
+}
+
+template <class Operation>
+void HomeImpl::Begin(Entry entry, const Operation&) {
+  Finish(entry, NotRun{NotRunReason::kInvalidRequest}, "", {});
+}
+
+void HomeImpl::Begin(Entry entry, const wire::CreateProgram& operation) {
+  RunningCall& running = *entry->second.running;
+  const wire::CallRequest& request = running.call.request;
+  if (!limits_.priority_classes.contains(operation.priority_class)) {
+    return Finish(entry, NotRun{NotRunReason::kInvalidRequest}, "", {});
+  }
+  journal::ProgramCreated record;
+  record.program = request.program;
+  record.epoch = running.epoch;
+  record.organisation = request.organisation;
+  record.key = request.key;
+  record.priority_class = operation.priority_class;
+  record.budget = operation.budget.value() == 0
+                      ? limits_.program_budget
+                      : std::min(operation.budget, limits_.program_budget);
+  record.max_calls = operation.max_calls == 0
+                         ? limits_.program_max_calls
+                         : std::min(operation.max_calls, limits_.program_max_calls);
+  record.parent = operation.parent;
+  record.authorised = std::min(record.budget, kInitialAuthorisation);
+  Append(running, Phase::kCreating, std::move(record));
+}
+
+void HomeImpl::Begin(Entry entry, const wire::EndProgram&) {
+  RunningCall& running = *entry->second.running;
+  const journal::Program* program = state_.FindProgram(entry->first);
+  if (program == nullptr || program->ended) {
+    return Finish(entry, Completed{}, "{}", {});
+  }
+  journal::ProgramEnded record;
+  record.program = entry->first;
+  record.epoch = running.epoch;
+  Append(running, Phase::kEnding, std::move(record));
+}
+
+void HomeImpl::Append(RunningCall& running, Phase phase, journal::Record record) {
+  running.phase = phase;
+  running.ticket = ++last_ticket_;
+  tickets_[running.ticket] = running.call.request.program;
+  actions_.push_back(AppendRecord{running.ticket, std::move(record)});
+}
+
+void HomeImpl::Dispatch(Entry entry) {
+  RunningCall& running = *entry->second.running;
+  const journal::Program& program = *state_.FindProgram(entry->first);
+  const journal::Program* root = state_.FindProgram(program.root);
+  running.phase = Phase::kDispatching;
+  running.attempt = ++last_attempt_;
+  running.attempt_text.clear();
+  running.next_index = 0;
+  attempts_[running.attempt] = entry->first;
+
+  DispatchOrder order;
+  order.program = entry->first;
+  order.root = program.root;
+  order.organisation = program.organisation;
+  order.priority_class = program.priority_class;
+  order.attained = root == nullptr ? program.spent : root->spent;
+  order.prompt_estimate = running.prompt_bound;
+  order.deadline = running.call.deadline;
+  order.traceparent = running.call.request.traceparent;
+  order.retry = running.attempts++;
+  if (const auto* model = std::get_if<wire::ModelCall>(&running.call.request.operation)) {
+    order.work = MakeDispatch(running, *model);
+  } else {
+    const auto& tool = std::get<wire::ToolCall>(running.call.request.operation);
+    const auto rule = limits_.services.find(tool.service);
+    if (rule != limits_.services.end()) {
+      order.deadline = std::min(order.deadline, now_ + rule->second.timeout);
+    }
+    order.work = MakeDispatch(running, tool);
+  }
+  actions_.push_back(StartDispatch{running.attempt, std::move(order)});
+}
+
+bool HomeImpl::CanRetry(const RunningCall& running) const {
+  return running.attempts < options_.max_attempts && now_ < running.call.deadline;
+}
+
+void HomeImpl::OnVerdict(Ticket ticket, const journal::Verdict& verdict) {
+  const auto found = tickets_.find(ticket);
+  if (found == tickets_.end()) {
+    return;
+  }
+  const auto entry = programs_.find(found->second);
+  tickets_.erase(found);
+  if (entry == programs_.end() || !entry->second.running.has_value() ||
+      entry->second.running->ticket != ticket) {
+    return;
+  }
+  std::visit(Overloaded{
+                 [&](const journal::Accepted&) { OnAccepted(entry); },
+                 [&](const journal::Duplicate&) { OnAccepted(entry); },
+                 [&](const journal::Rejected& rejected) { OnRejected(entry, rejected); },
+             },
+             verdict);
+}
+
+void HomeImpl::OnAccepted(Entry entry) {
+  RunningCall& running = *entry->second.running;
+  switch (running.phase) {
+    case Phase::kAuthorising:
+      if (running.expired) {
+        return Finish(entry, NotRun{NotRunReason::kDeadlineExceeded}, "", {});
+      }
+      return Dispatch(entry);
+    case Phase::kIntending:
+      if (running.expired) {
+        // The callers were told that the call did not run, so the intent must not be carried out.
+        journal::EffectFinished record;
+        record.program = entry->first;
+        record.epoch = running.epoch;
+        record.key = running.call.request.key;
+        record.outcome = NotRun{NotRunReason::kDeadlineExceeded};
+        return Append(running, Phase::kWithdrawing, std::move(record));
+      }
+      return Dispatch(entry);
+    case Phase::kCreating: {
+      Json::Value body;
+      body["program"] = entry->first.value();
+      return Finish(entry, Completed{}, body.toStyledString(), {});
+    }
+    case Phase::kEnding:
+      return Finish(entry, Completed{}, "{}", {});
+    case Phase::kCharging:
+    case Phase::kWithdrawing:
+    case Phase::kCommitting:
+      return Finish(entry, running.outcome, running.body, running.usage);
+    case Phase::kDispatching:
+      return;
+  }
+}
+
+void HomeImpl::OnRejected(Entry entry, const journal::Rejected& rejected) {
+  RunningCall& running = *entry->second.running;
+  switch (rejected.reason) {
+    case journal::RejectReason::kStaleEpoch:
+    case journal::RejectReason::kNotOwner:
+      return Drop(entry);
+    case journal::RejectReason::kProgramExists:
+      return Finish(entry, Completed{}, "{\"program\":\"" + entry->first.value() + "\"}", {});
+    case journal::RejectReason::kProgramEnded:
+      if (running.phase == Phase::kEnding) {
+        return Finish(entry, Completed{}, "{}", {});
+      }
+      break;
+    default:
+      break;
+  }
+  if (running.phase == Phase::kAuthorising && running.may_have_run) {
+    return Append(running, Phase::kCharging,
+                  MakeCharge(running, running.worst_case(), TokenCount()));
+  }
+  if (running.phase == Phase::kCommitting || running.phase == Phase::kCharging) {
+    return Finish(entry, Unknown{UnknownReason::kOwnerChanged}, "", {});
+  }
+  Finish(entry, NotRun{ToNotRunReason(rejected.reason)}, "", {});
+}
+
+void HomeImpl::Finish(Entry entry, const Outcome& outcome, std::string body, wire::Usage usage) {
+  RunningCall& running = *entry->second.running;
+  Tell(running.call, outcome, body, usage);
+  attempts_.erase(running.attempt);
+  entry->second.running.reset();
+  StartNext(entry);
+}
+
+void HomeImpl::Drop(Entry entry) {
+  ProgramCalls& calls = entry->second;
+  if (calls.running.has_value()) {
+    TellWrongOwner(calls.running->call);
+    if (attempts_.erase(calls.running->attempt) > 0) {
+      actions_.push_back(CancelDispatch{calls.running->attempt});
+    }
+  }
+  for (const Call& call : calls.queue) {
+    TellWrongOwner(call);
+  }
+  programs_.erase(entry);
+}
+
+void HomeImpl::OnDispatchEvent(ExchangeId attempt, std::uint64_t index, std::string_view text) {
+  const auto found = attempts_.find(attempt);
+  if (found != attempts_.end()) {
+    OnModelEvent(programs_.find(found->second), index, text);
+  }
+}
+
+void HomeImpl::OnDispatchFinished(ExchangeId attempt,
+                                  const Outcome& outcome,
+                                  std::string body,
+                                  wire::Usage usage) {
+  const auto found = attempts_.find(attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const auto entry = programs_.find(found->second);
+  attempts_.erase(found);
+  if (std::holds_alternative<wire::ModelCall>(entry->second.running->call.request.operation)) {
+    OnModelFinished(entry, outcome, std::move(body), usage);
+  } else {
+    OnToolFinished(entry, outcome, std::move(body));
+  }
+}
+
+void HomeImpl::OnOwnershipChanged() {
+  for (auto entry = programs_.begin(); entry != programs_.end();) {
+    const auto current = entry++;
+    const journal::ShardOwner* owner = OwnOwner(ShardOf(current->first));
+    const auto& running = current->second.running;
+    if (owner == nullptr || (running.has_value() && running->epoch != owner->epoch)) {
+      Drop(current);
+    }
+  }
+}
+
+void HomeImpl::Tick() {
+  for (auto entry = programs_.begin(); entry != programs_.end();) {
+    const auto current = entry++;
+    for (Call& call : current->second.queue) {
+      if (now_ >= call.deadline) {
+        Tell(call, NotRun{NotRunReason::kDeadlineExceeded}, "", {});
+      }
+    }
+    std::erase_if(current->second.queue, [&](const Call& call) { return now_ >= call.deadline; });
+    if (current->second.running.has_value() && now_ >= current->second.running->call.deadline) {
+      TickRunning(current);
+    }
+  }
+}
+
+void HomeImpl::TickRunning(Entry entry) {
+  RunningCall& running = *entry->second.running;
+  switch (running.phase) {
+    case Phase::kDispatching:
+      if (now_ >= running.call.deadline + options_.dispatch_grace) {
+        const ExchangeId attempt = running.attempt;
+        actions_.push_back(CancelDispatch{attempt});
+        OnDispatchFinished(attempt, Unknown{UnknownReason::kTimeout}, "", {});
+      }
+      return;
+    case Phase::kAuthorising:
+    case Phase::kIntending:
+      running.expired = true;
+      if (running.may_have_run) {
+        return Tell(running.call, Unknown{UnknownReason::kLogUnavailable}, "", {});
+      }
+      return Tell(running.call, NotRun{NotRunReason::kDeadlineExceeded}, "", {});
+    case Phase::kCreating:
+    case Phase::kEnding:
+    case Phase::kCharging:
+    case Phase::kWithdrawing:
+    case Phase::kCommitting:
+      running.expired = true;
+      return Tell(running.call, Unknown{UnknownReason::kLogUnavailable}, "", {});
+  }
+}
+
+void HomeImpl::RemoveListeners(const Subscriber& subscriber) {
+  const auto remove = [&](Call& call) {
+    std::erase_if(call.listeners,
+                  [&](const Listener& listener) { return listener.subscriber == subscriber; });
+  };
+  for (auto& [program, calls] : programs_) {
+    if (calls.running.has_value()) {
+      remove(calls.running->call);
+    }
+    std::for_each(calls.queue.begin(), calls.queue.end(), remove);
+  }
+}
+
+void HomeImpl::RemoveChannel(std::uint64_t channel) {
+  const auto remove = [&](Call& call) {
+    std::erase_if(call.listeners,
+                  [&](const Listener& listener) { return listener.subscriber.channel == channel; });
+  };
+  for (auto& [program, calls] : programs_) {
+    if (calls.running.has_value()) {
+      remove(calls.running->call);
+    }
+    std::for_each(calls.queue.begin(), calls.queue.end(), remove);
+  }
+}
+
+}  // namespace acaciaspring::program
