--- a/include/acaciaspring/program.h
+++ b/include/acaciaspring/program.h
@@ -58,6 +58,8 @@
   Subscriber to;
   std::uint64_t offset = 0;
   std::string text;
+  /// Hash64 of the answer up to the end of the text.
+  std::uint64_t hash = 0;
 };
 struct SendFinished {
   Subscriber to;
@@ -139,8 +141,8 @@
   /// @brief Ends calls past their deadline.
   Actions Tick(MonotonicTime now);
 
-  /// @brief True while calls of the shard are queued or running here.
-  bool Busy(ShardId shard) const;
+  /// @brief Shards with calls that are queued or running here.
+  std::set<ShardId> BusyShards() const;
   /// @brief Calls queued or running.
   std::size_t active_calls() const;
 
--- a/include/acaciaspring/wire.h
+++ b/include/acaciaspring/wire.h
@@ -241,14 +241,16 @@
   }
 };
 
-/// @brief A piece of a streamed answer; `offset` is its position in the answer in bytes.
+/// @brief A piece of a streamed answer; `offset` is its position in the answer in bytes and `hash`
+/// the Hash64 of the answer up to the end of the piece.
 struct CallEvent {
   ExchangeId exchange;
   std::uint64_t offset = 0;
   std::string text;
+  std::uint64_t hash = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, offset, text);
+    archive(exchange, offset, text, hash);
   }
 };
 
--- /dev/null
+++ b/src/ctl/run.cc
@@ -0,0 +1,207 @@
+#include <iomanip>
+#include <sstream>
+
+#include "acaciaspring/config.h"
+#include "src/ctl/request.h"
+
+namespace acaciaspring::ctl {
+
+namespace {
+
+std::string ToText(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+Json::Value ToJson(const config::Document& document) {
+  Json::Value value;
+  std::istringstream(config::CanonicalText(document)) >> value;
+  return value;
+}
+
+/// @brief Carries out one command; one overload for each.
+class Runner {
+ public:
+  Runner(const Options& options, std::ostream& out, std::ostream& err)
+      : options_(options), out_(out), err_(err) {}
+
+  ExitCode operator()(const Check& command) {
+    const config::Document document = config::LoadFolder(command.folder);
+    out_ << command.folder << ": " << document.organisations.size() << " organisations, "
+         << document.priority_classes.size() << " priority classes, " << document.endpoints.size()
+         << " endpoints, " << document.services.size() << " services\n";
+    return ExitCode::kOk;
+  }
+
+  ExitCode operator()(const Diff& command) {
+    const config::Document wanted = config::LoadFolder(command.folder);
+    const Answer answer = SendRequest(options_, "GET", "/v1/admin/config", "");
+    if (answer.status != 200) {
+      return Fail(answer);
+    }
+    config::Document current;
+    if (answer.document["revision"].asUInt64() > 0) {
+      current = config::ParseDocument(ToText(answer.document["document"]));
+    }
+    out_ << "revision in force: " << answer.document["revision"].asUInt64() << "\n";
+    for (const config::Change& change : config::Diff(current, wanted)) {
+      out_ << change.key_path << ": " << Shown(change.old_value) << " -> "
+           << Shown(change.new_value) << "\n";
+    }
+    return ExitCode::kOk;
+  }
+
+  ExitCode operator()(const Apply& command) {
+    const config::Document wanted = config::LoadFolder(command.folder);
+    Json::Value body;
+    body["document"] = ToJson(wanted);
+    if (command.base.has_value()) {
+      body["base"] = Json::UInt64(command.base->value());
+    } else {
+      const Answer current = SendRequest(options_, "GET", "/v1/admin/config", "");
+      if (current.status != 200) {
+        return Fail(current);
+      }
+      body["base"] = current.document["revision"];
+    }
+    const Answer answer = SendRequest(options_, "POST", "/v1/admin/config", ToText(body));
+    if (std::holds_alternative<net::HttpInterrupted>(answer.result) || answer.status == 504) {
+      err_ << "not known: the change may still come into force; see `status`\n";
+      return ExitCode::kNotKnown;
+    }
+    if (answer.status == 409) {
+      err_ << "conflict: revision " << answer.document["revision"].asUInt64()
+           << " came first; nothing was changed\n";
+      return ExitCode::kConflict;
+    }
+    if (answer.status != 200) {
+      return Fail(answer);
+    }
+    out_ << "accepted: revision " << answer.document["revision"].asUInt64() << "\n";
+    return ExitCode::kOk;
+  }
+
+  ExitCode operator()(const Status&) {
+    const Answer answer = SendRequest(options_, "GET", "/v1/admin/status", "");
+    if (answer.status != 200) {
+      return Fail(answer);
+    }
+    if (options_.json) {
+      out_ << answer.document.toStyledString();
+      return ExitCode::kOk;
+    }
+    out_ << std::left << std::setw(16) << "DAEMON" << std::setw(10) << "STATE" << std::setw(16)
+         << "ZONE" << std::setw(10) << "REVISION" << std::setw(8) << "SHARDS" << std::setw(6)
+         << "LOG" << std::setw(8) << "HOME"
+         << "ENTRY\n";
+    for (const Json::Value& member : answer.document["members"]) {
+      PrintMember(member, answer.document["daemons"]);
+    }
+    PrintEndpoints(answer.document["daemons"]);
+    return ExitCode::kOk;
+  }
+
+  ExitCode operator()(const Programs& command) {
+    const std::string target =
+        command.with_ended ? "/v1/admin/programs?ended=1" : "/v1/admin/programs";
+    const Answer answer = SendRequest(options_, "GET", target, "");
+    if (answer.status != 200) {
+      return Fail(answer);
+    }
+    if (options_.json) {
+      out_ << answer.document.toStyledString();
+      return ExitCode::kOk;
+    }
+    out_ << std::left << std::setw(34) << "PROGRAM" << std::setw(14) << "ORGANISATION"
+         << std::setw(12) << "CLASS" << std::setw(7) << "TURNS" << std::setw(12) << "SPENT"
+         << "BUDGET\n";
+    for (const Json::Value& program : answer.document["programs"]) {
+      out_ << std::setw(34) << program["program"].asString() << std::setw(14)
+           << program["organisation"].asString() << std::setw(12) << program["class"].asString()
+           << std::setw(7) << program["turns"].asUInt64() << std::setw(12)
+           << program["spent_tokens"].asUInt64() << program["budget_tokens"].asUInt64() << "\n";
+    }
+    out_ << "total: " << answer.document["total"].asUInt64() << "\n";
+    return ExitCode::kOk;
+  }
+
+  ExitCode operator()(const Entries&) {
+    const Answer answer = SendRequest(options_, "GET", "/v1/entries", "");
+    if (answer.status != 200) {
+      return Fail(answer);
+    }
+    for (const Json::Value& entry : answer.document["entries"]) {
+      out_ << entry["address"].asString() << " " << entry["zone"].asString() << "\n";
+    }
+    return ExitCode::kOk;
+  }
+
+  ExitCode operator()(const Drain&) {
+    const Answer answer = SendRequest(options_, "POST", "/v1/admin/drain", "");
+    if (answer.status != 202) {
+      return Fail(answer);
+    }
+    out_ << "draining " << options_.server.ToString() << "\n";
+    return ExitCode::kOk;
+  }
+
+ private:
+  static std::string Shown(const std::string& value) { return value.empty() ? "(absent)" : value; }
+
+  ExitCode Fail(const Answer& answer) {
+    if (!std::holds_alternative<net::HttpFinished>(answer.result)) {
+      err_ << "no answer from " << options_.server.ToString() << "\n";
+    } else {
+      err_ << "HTTP " << answer.status << ": " << ToText(answer.document) << "\n";
+    }
+    return ExitCode::kFailed;
+  }
+
+  void PrintMember(const Json::Value& member, const Json::Value& daemons) {
+    out_ << std::setw(16) << member["daemon"].asString() << std::setw(10)
+         << member["state"].asString() << std::setw(16) << member["zone"].asString();
+    for (const Json::Value& daemon : daemons) {
+      if (daemon["daemon"] != member["daemon"]) {
+        continue;
+      }
+      out_ << std::setw(10) << daemon["revision"].asUInt64() << std::setw(8)
+           << daemon["owned_shards"].asUInt64() << std::setw(6)
+           << (daemon["log"]["available"].asBool() ? "up" : "down") << std::setw(8)
+           << daemon["home_calls"].asUInt64() << daemon["entry_calls"].asUInt64();
+    }
+    out_ << "\n";
+  }
+
+  void PrintEndpoints(const Json::Value& daemons) {
+    out_ << "\n"
+         << std::setw(32) << "ENDPOINT" << std::setw(16) << "DISPATCHER" << std::setw(10)
+         << "AVAILABLE" << std::setw(8) << "QUEUED"
+         << "RUNNING\n";
+    for (const Json::Value& daemon : daemons) {
+      for (const std::string& id : daemon["endpoints"].getMemberNames()) {
+        const Json::Value& endpoint = daemon["endpoints"][id];
+        out_ << std::setw(32) << id << std::setw(16) << daemon["daemon"].asString() << std::setw(10)
+             << (endpoint["available"].asBool() ? "yes" : "no") << std::setw(8)
+             << endpoint["queued"].asUInt64() << endpoint["running"].asUInt64() << "\n";
+      }
+    }
+  }
+
+  const Options& options_;
+  std::ostream& out_;
+  std::ostream& err_;
+};
+
+}  // namespace
+
+ExitCode Run(const Command& command, const Options& options, std::ostream& out, std::ostream& err) {
+  try {
+    return std::visit(Runner(options, out, err), command);
+  } catch (const config::ConfigError& error) {
+    err << error.what() << "\n";
+    return ExitCode::kInvalid;
+  }
+}
+
+}  // namespace acaciaspring::ctl
--- /dev/null
+++ b/src/daemon/admin_api.cc
@@ -0,0 +1,275 @@
+#include "src/daemon/admin_api.h"
+
+#include <glog/logging.h>
+
+#include <charconv>
+#include <set>
+#include <utility>
+
+#include "src/daemon/http_answers.h"
+
+namespace acaciaspring::daemon {
+
+namespace {
+
+constexpr Duration kStatusTimeout = std::chrono::milliseconds(500);
+// An operator is told "not known" when the log has not decided by then.
+constexpr Duration kConfigTimeout = std::chrono::seconds(10);
+constexpr std::size_t kMaxListedPrograms = 1000;
+
+Json::Value DescribeMember(const membership::Member& member) {
+  Json::Value out;
+  out["daemon"] = member.id.value();
+  out["state"] = std::string(membership::ToString(member.state));
+  out["zone"] = member.zone.value();
+  out["address"] = member.http.ToString();
+  out["incarnation"] = Json::UInt64(member.incarnation.value());
+  out["revision"] = Json::UInt64(member.revision.value());
+  out["ready"] = member.ready;
+  return out;
+}
+
+Json::Value DescribeProgram(const journal::Program& program) {
+  Json::Value out;
+  out["program"] = program.id.value();
+  out["organisation"] = program.organisation.value();
+  out["class"] = program.priority_class.value();
+  out["turns"] = program.turn_count.value();
+  out["calls"] = program.call_count;
+  out["spent_tokens"] = Json::UInt64(program.spent.value());
+  out["budget_tokens"] = Json::UInt64(program.budget.value());
+  out["ended"] = program.ended;
+  return out;
+}
+
+Json::Value DescribeDiagnostics(const config::ConfigError& error) {
+  Json::Value list = Json::arrayValue;
+  for (const config::Diagnostic& diagnostic : error.diagnostics()) {
+    Json::Value item;
+    item["line"] = Json::UInt64(diagnostic.line);
+    item["key"] = diagnostic.key_path;
+    item["code"] = std::string(config::ToString(diagnostic.code));
+    item["detail"] = diagnostic.detail;
+    list.append(item);
+  }
+  return list;
+}
+
+}  // namespace
+
+struct AdminApi::StatusQuery {
+  net::HttpResponderPtr responder;
+  std::set<ExchangeId> waiting;
+  Json::Value daemons = Json::arrayValue;
+  net::Timer timer;
+};
+
+AdminApi::AdminApi(Context context, const Cluster& cluster, AdminHandlers handlers)
+    : context_(context), cluster_(cluster), handlers_(std::move(handlers)) {}
+
+void AdminApi::Handle(const net::HttpRequest& request, net::HttpResponderPtr responder) {
+  const bool get = request.method == "GET";
+  const bool post = request.method == "POST";
+  if (request.path == "/v1/admin/status" && get) {
+    return CollectStatus(std::move(responder));
+  }
+  if (request.path == "/v1/admin/config" && get) {
+    return RespondConfig(*responder);
+  }
+  if (request.path == "/v1/admin/config" && post) {
+    return ChangeConfig(request, std::move(responder));
+  }
+  if (request.path == "/v1/admin/programs" && get) {
+    return RespondPrograms(request, *responder);
+  }
+  if (request.path == "/v1/admin/drain" && post) {
+    RespondJson(*responder, 202, "{\"draining\":true}");
+    return handlers_.drain();
+  }
+  RespondError(*responder, RequestError::kNotFound, "no such operator resource or method");
+}
+
+Json::Value AdminApi::LocalStatus() const {
+  const journal::State& state = context_.journal.state();
+  const journal::JournalCounters& counters = context_.journal.counters();
+  Json::Value out = handlers_.local_status();
+  out["daemon"] = context_.settings.daemon.value();
+  out["zone"] = context_.settings.zone.value();
+  out["incarnation"] = Json::UInt64(context_.incarnation.value());
+  out["revision"] = Json::UInt64(state.revision().value());
+  out["leaving"] = cluster_.leaving();
+  out["owned_shards"] = Json::UInt64(cluster_.owned_shards());
+  out["log"]["available"] = context_.journal.available();
+  out["log"]["caught_up"] = context_.journal.caught_up();
+  out["log"]["applied_offset"] = Json::UInt64(state.applied_offset().value());
+  out["log"]["appends"] = Json::UInt64(counters.appends);
+  out["log"]["append_retries"] = Json::UInt64(counters.append_retries);
+  out["log"]["pending_records"] = Json::UInt64(context_.journal.pending_records());
+  out["programs"] = Json::UInt64(state.live_program_count());
+  out["budget_violations"] = Json::UInt64(state.counters().budget_violations);
+  out["rejected_records"] = Json::UInt64(state.counters().rejected);
+  return out;
+}
+
+void AdminApi::CollectStatus(net::HttpResponderPtr responder) {
+  auto query = std::make_shared<StatusQuery>();
+  query->responder = std::move(responder);
+  query->daemons.append(LocalStatus());
+  for (const membership::Member& member : cluster_.members()) {
+    if (member.id == context_.settings.daemon || member.state == membership::MemberState::kDead) {
+      continue;
+    }
+    const auto channel = context_.peers.ChannelTo(member.id);
+    if (channel.has_value()) {
+      const ExchangeId exchange = ++last_exchange_;
+      query->waiting.insert(exchange);
+      queries_[exchange] = query;
+      context_.peers.Send(*channel, wire::StatusRequest{exchange});
+    }
+  }
+  query->timer = context_.loop.After(kStatusTimeout, [this, query] { FinishStatus(query); });
+  if (query->waiting.empty()) {
+    FinishStatus(query);
+  }
+}
+
+void AdminApi::FinishStatus(const std::shared_ptr<StatusQuery>& query) {
+  for (const ExchangeId exchange : query->waiting) {
+    queries_.erase(exchange);
+  }
+  Json::Value document;
+  document["members"] = Json::arrayValue;
+  for (const membership::Member& member : cluster_.members()) {
+    document["members"].append(DescribeMember(member));
+  }
+  document["daemons"] = query->daemons;
+  RespondJson(*query->responder, 200, ToText(document));
+  query->timer.Cancel();
+}
+
+void AdminApi::OnStatusRequest(ChannelId channel, const wire::StatusRequest& request) {
+  context_.peers.Send(channel, wire::StatusReply{request.exchange, ToText(LocalStatus())});
+}
+
+void AdminApi::OnStatusReply(const wire::StatusReply& reply) {
+  const auto found = queries_.find(reply.exchange);
+  if (found == queries_.end()) {
+    return;
+  }
+  const std::shared_ptr<StatusQuery> query = found->second;
+  queries_.erase(found);
+  query->waiting.erase(reply.exchange);
+  if (const auto status = ParseJson(reply.document)) {
+    query->daemons.append(*status);
+  }
+  if (query->waiting.empty()) {
+    FinishStatus(query);
+  }
+}
+
+void AdminApi::RespondConfig(net::HttpResponder& responder) const {
+  const journal::State& state = context_.journal.state();
+  Json::Value document;
+  document["revision"] = Json::UInt64(state.revision().value());
+  document["document"] = ParseJson(state.document()).value_or(Json::objectValue);
+  RespondJson(responder, 200, ToText(document));
+}
+
+void AdminApi::ChangeConfig(const net::HttpRequest& request, net::HttpResponderPtr responder) {
+  const auto body = ParseJson(request.body);
+  if (!body.has_value() || !body->isObject() || !(*body)["base"].isUInt64() ||
+      !(*body)["document"].isObject()) {
+    return RespondError(*responder, RequestError::kInvalidField,
+                        "the body needs \"base\" (a revision) and \"document\" (an object)");
+  }
+  journal::ConfigChanged record;
+  try {
+    const config::Document parsed = config::ParseDocument(ToText((*body)["document"]));
+    record.document = config::CanonicalText(parsed);
+  } catch (const config::ConfigError& error) {
+    Json::Value answer;
+    answer["error"]["code"] = "invalid_configuration";
+    answer["error"]["outcome"] = "not_run";
+    answer["error"]["diagnostics"] = DescribeDiagnostics(error);
+    return RespondJson(*responder, 400, ToText(answer));
+  }
+  record.base = Revision((*body)["base"].asUInt64());
+  record.author = std::string(net::FindHeader(request.headers, "x-author")).substr(0, 64);
+
+  auto decided = std::make_shared<bool>(false);
+  auto timer = std::make_shared<net::Timer>();
+  const auto respond = [this, responder, decided, timer](int status, const std::string& result) {
+    if (std::exchange(*decided, true)) {
+      return;
+    }
+    Json::Value answer;
+    answer["result"] = result;
+    answer["revision"] = Json::UInt64(context_.journal.state().revision().value());
+    RespondJson(*responder, status, ToText(answer));
+    timer->Cancel();
+  };
+  const auto result =
+      context_.journal.Append(std::move(record), [respond](const journal::Verdict& verdict) {
+        const auto* rejected = std::get_if<journal::Rejected>(&verdict);
+        if (rejected == nullptr) {
+          respond(200, "accepted");
+        } else if (rejected->reason == journal::RejectReason::kUndecided) {
+          respond(504, "not_known");
+        } else {
+          respond(409, "conflict");
+        }
+      });
+  if (!std::holds_alternative<journal::RecordId>(result)) {
+    return respond(503, "not_run");
+  }
+  *timer = context_.loop.After(kConfigTimeout, [respond] { respond(504, "not_known"); });
+}
+
+void AdminApi::RespondPrograms(const net::HttpRequest& request,
+                               net::HttpResponder& responder) const {
+  const bool with_ended = net::FindQueryParameter(request, "ended") == "1";
+  Json::Value document;
+  document["programs"] = Json::arrayValue;
+  std::size_t total = 0;
+  for (const journal::Program* program : context_.journal.state().Programs()) {
+    if (program->ended && !with_ended) {
+      continue;
+    }
+    if (++total <= kMaxListedPrograms) {
+      document["programs"].append(DescribeProgram(*program));
+    }
+  }
+  document["total"] = Json::UInt64(total);
+  RespondJson(responder, 200, ToText(document));
+}
+
+void AdminApi::UpdateGauges() {
+  const journal::State& state = context_.journal.state();
+  const journal::JournalCounters& counters = context_.journal.counters();
+  telemetry::Registry& metrics = context_.metrics;
+  const auto set = [&](const char* name, const char* help, double value) {
+    metrics.GetGauge(name, help).Set(value);
+  };
+  set("acaciaspring_revision", "Configuration revision in force",
+      static_cast<double>(state.revision().value()));
+  set("acaciaspring_owned_shards", "Shards owned by this daemon",
+      static_cast<double>(cluster_.owned_shards()));
+  set("acaciaspring_programs", "Programs that have not ended",
+      static_cast<double>(state.live_program_count()));
+  set("acaciaspring_log_available", "1 while the log answers",
+      context_.journal.available() ? 1 : 0);
+  set("acaciaspring_log_applied_offset", "Last log offset in the fold",
+      static_cast<double>(state.applied_offset().value()));
+  set("acaciaspring_log_pending_records", "Records that wait for their verdict",
+      static_cast<double>(context_.journal.pending_records()));
+  set("acaciaspring_log_appends", "Appends sent to the log", static_cast<double>(counters.appends));
+  set("acaciaspring_log_append_retries", "Appends sent again",
+      static_cast<double>(counters.append_retries));
+  set("acaciaspring_rejected_records", "Records that the fold has rejected",
+      static_cast<double>(state.counters().rejected));
+  const net::DropCounters& drops = context_.peers.drops();
+  set("acaciaspring_frames_dropped", "Frames between daemons that were dropped",
+      static_cast<double>(drops.bad_mac + drops.oversized + drops.malformed + drops.replayed));
+}
+
+}  // namespace acaciaspring::daemon
--- /dev/null
+++ b/src/daemon/admin_api.h
@@ -0,0 +1,53 @@
+#ifndef ACACIASPRING_SRC_DAEMON_ADMIN_API_H_
+#define ACACIASPRING_SRC_DAEMON_ADMIN_API_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "src/daemon/cluster.h"
+#include "src/daemon/json.h"
+
+namespace acaciaspring::daemon {
+
+struct AdminHandlers {
+  /// State of the roles of this daemon.
+  std::function<Json::Value()> local_status;
+  std::function<void()> drain;
+};
+
+/// @brief The operators' HTTP interface: status of all daemons, configuration, programs and drain.
+class AdminApi {
+ public:
+  AdminApi(Context context, const Cluster& cluster, AdminHandlers handlers);
+
+  /// @brief Answers an authenticated request.
+  void Handle(const net::HttpRequest& request, net::HttpResponderPtr responder);
+  /// @brief Brings the gauges up to date before they are read.
+  void UpdateGauges();
+
+  void OnStatusRequest(ChannelId channel, const wire::StatusRequest& request);
+  void OnStatusReply(const wire::StatusReply& reply);
+
+ private:
+  struct StatusQuery;
+
+  void CollectStatus(net::HttpResponderPtr responder);
+  void FinishStatus(const std::shared_ptr<StatusQuery>& query);
+  void RespondConfig(net::HttpResponder& responder) const;
+  void ChangeConfig(const net::HttpRequest& request, net::HttpResponderPtr responder);
+  void RespondPrograms(const net::HttpRequest& request, net::HttpResponder& responder) const;
+  Json::Value LocalStatus() const;
+
+  Context context_;
+  const Cluster& cluster_;
+  AdminHandlers handlers_;
+  ExchangeId last_exchange_;
+  std::map<ExchangeId, std::shared_ptr<StatusQuery>> queries_;
+};
+
+}  // namespace acaciaspring::daemon
+
+#endif  // ACACIASPRING_SRC_DAEMON_ADMIN_API_H_
--- /dev/null
+++ b/src/daemon/cluster.h
@@ -0,0 +1,74 @@
+#ifndef ACACIASPRING_SRC_DAEMON_CLUSTER_H_
+#define ACACIASPRING_SRC_DAEMON_CLUSTER_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "acaciaspring/membership.h"
+#include "acaciaspring/placement.h"
+#include "src/daemon/context.h"
+
+namespace acaciaspring::daemon {
+
+struct ClusterHandlers {
+  /// Members, their state or the placement changed.
+  std::function<void()> on_changed;
+  /// A member died, or restarted under the same id: nothing more will come from its old run.
+  std::function<void(const DaemonId& daemon)> on_dead;
+  std::function<std::set<ShardId>()> busy_shards;
+  std::function<void(ShardId shard, bool stopped)> on_stopped;
+};
+
+/// @brief Membership, placement and the claims of this daemon.
+class Cluster {
+ public:
+  Cluster(Context context, ClusterHandlers handlers);
+
+  void Start();
+  /// @brief Announces the graceful shutdown; shards are handed over from now on.
+  void Leave();
+  void SetReady(bool ready);
+  void SetRevision(Revision revision);
+
+  bool leaving() const { return leaving_; }
+  const std::vector<membership::Member>& members() const { return members_.members(); }
+  const membership::Member* Find(const DaemonId& daemon) const { return members_.Find(daemon); }
+  const placement::Placement& placement() const { return placement_; }
+  const membership::MembersCounters& counters() const { return members_.counters(); }
+  /// @brief The owner of the shard according to the log, if its process is believed to be alive.
+  std::optional<DaemonId> LiveOwner(ShardId shard) const;
+  std::size_t owned_shards() const;
+
+ private:
+  void OnDatagram(const net::Address& from, std::string_view datagram);
+  void Send(const std::vector<membership::OutgoingDatagram>& datagrams);
+  void Tick();
+  void OnMembersChanged();
+  void PlanShards();
+  void Claim(const std::vector<ShardId>& shards);
+  void Release(const std::vector<ShardId>& shards);
+  void FetchVmList();
+  bool OwnsShard(ShardId shard) const;
+
+  Context context_;
+  ClusterHandlers handlers_;
+  membership::Members members_;
+  placement::Placement placement_;
+  placement::ShardPlanner planner_;
+  net::DatagramSocket socket_;
+  bool leaving_ = false;
+  std::uint64_t seen_version_ = 0;
+  std::map<DaemonId, Incarnation> living_;
+  std::uint64_t forged_datagrams_ = 0;
+  net::Timer tick_timer_;
+  net::Timer plan_timer_;
+  net::Timer vm_list_timer_;
+};
+
+}  // namespace acaciaspring::daemon
+
+#endif  // ACACIASPRING_SRC_DAEMON_CLUSTER_H_
--- /dev/null
+++ b/src/daemon/endpoint_monitor.cc
@@ -0,0 +1,93 @@
+// Polling of engines: load, availability and KV cache holds.
+
+#include <glog/logging.h>
+
+#include <utility>
+
+#include "src/daemon/endpoint_worker.h"
+
+namespace acaciaspring::daemon {
+
+namespace {
+
+constexpr Duration kPollTimeout = std::chrono::milliseconds(500);
+// Time in which the fold of this daemon must have seen the creation of a program that an engine
+// holds KV cache for.
+constexpr Duration kHoldGrace = std::chrono::seconds(3);
+// An engine that fails this many polls in a row gets no new work.
+constexpr std::uint32_t kMaxFailedPolls = 3;
+
+}  // namespace
+
+void EndpointWorker::PollLoad() {
+  const auto on_load = [this, alive = alive_](const endpoint::LoadResult& result) {
+    if (!*alive) {
+      return;
+    }
+    const bool was_available = available();
+    if (const auto* load = std::get_if<endpoint::EngineLoad>(&result)) {
+      failed_polls_ = 0;
+      unreachable_ = false;
+      reported_leaving_ = load->leaving;
+    } else {
+      unreachable_ = ++failed_polls_ >= kMaxFailedPolls;
+    }
+    if (was_available != available()) {
+      LOG(INFO) << "endpoint " << target_.id
+                << (available() ? " accepts work"
+                                : " gets no new work: it is leaving or does not answer");
+    }
+    if (!available()) {
+      RefuseQueued(NotRunReason::kEndpointUnavailable);
+    } else {
+      Pump();
+    }
+  };
+  endpoint::FetchLoad(context_.http, target_.address, kPollTimeout, on_load);
+}
+
+bool EndpointWorker::IsGone(const ProgramId& program) const {
+  const journal::Program* known = context_.journal.state().FindProgram(program);
+  return known == nullptr || known->ended;
+}
+
+void EndpointWorker::PollHolds() {
+  const auto on_holds = [this, alive = alive_](const endpoint::HoldsResult& result) {
+    if (!*alive) {
+      return;
+    }
+    const auto* holds = std::get_if<endpoint::EngineHolds>(&result);
+    if (holds == nullptr) {
+      return;
+    }
+    const MonotonicTime now = context_.loop.Now();
+    std::map<ProgramId, MonotonicTime> orphaned;
+    for (const endpoint::EngineHold& hold : holds->holds) {
+      if (!IsGone(hold.program)) {
+        continue;
+      }
+      const auto seen = orphaned_.find(hold.program);
+      const MonotonicTime since = seen == orphaned_.end() ? now : seen->second;
+      if (now - since >= kHoldGrace) {
+        LOG(INFO) << "releasing the hold of program " << hold.program << " on endpoint "
+                  << target_.id << ": the program has ended or is unknown";
+        Release(hold.program);
+      }
+      orphaned[hold.program] = since;
+    }
+    orphaned_ = std::move(orphaned);
+  };
+  endpoint::ListHolds(context_.http, target_.address, kPollTimeout, on_holds);
+}
+
+void EndpointWorker::ReleaseProgram(const ProgramId& program) {
+  if (is_engine() && held_.erase(program) > 0) {
+    Release(program);
+  }
+}
+
+void EndpointWorker::Release(const ProgramId& program) {
+  endpoint::ReleaseHold(context_.http, target_.address, program, kPollTimeout, nullptr);
+}
+
+}  // namespace acaciaspring::daemon
--- /dev/null
+++ b/src/daemon/endpoint_worker.h
@@ -0,0 +1,104 @@
+#ifndef ACACIASPRING_SRC_DAEMON_ENDPOINT_WORKER_H_
+#define ACACIASPRING_SRC_DAEMON_ENDPOINT_WORKER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <variant>
+
+#include "acaciaspring/endpoint.h"
+#include "acaciaspring/scheduling.h"
+#include "src/daemon/context.h"
+#include "src/daemon/json.h"
+
+namespace acaciaspring::daemon {
+
+struct EngineTarget {
+  double decode_tokens_per_second = 50;
+};
+struct ServiceTarget {
+  std::string operation;
+  Duration timeout{};
+};
+
+/// @brief Where and how a worker sends its calls.
+struct EndpointTarget {
+  EndpointId id;
+  net::Address address;
+  AvailabilityZone zone;
+  std::uint32_t concurrency = 1;
+  bool leaving = false;
+  std::variant<EngineTarget, ServiceTarget> kind;
+};
+
+/// @brief Queue and running calls of one endpoint or tool service.
+class EndpointWorker {
+ public:
+  EndpointWorker(Context context, EndpointTarget target);
+  ~EndpointWorker();
+
+  /// @brief Takes over a changed target or policy; queued calls keep their place as far as the new
+  /// policy allows.
+  void Configure(EndpointTarget target);
+  void Push(ChannelId channel, wire::DispatchRequest request);
+  void Cancel(ChannelId channel, ExchangeId exchange);
+  /// @brief Nobody waits for the calls of the channel any more.
+  void CancelChannel(ChannelId channel);
+  /// @brief Releases what the engine holds for an ended program, if it may hold anything.
+  void ReleaseProgram(const ProgramId& program);
+  /// @brief Expires calls and, for the assigned dispatcher of an engine, polls its load and
+  /// releases holds that no program vouches for.
+  void Tick(bool assigned);
+
+  bool idle() const { return items_.empty(); }
+  std::size_t queued() const { return queue_->size(); }
+  std::size_t running() const { return running_; }
+  bool available() const { return !target_.leaving && !reported_leaving_ && !unreachable_; }
+  const EndpointTarget& target() const { return target_; }
+  wire::EndpointReport MakeReport() const;
+
+ private:
+  struct Item;
+  using ItemPtr = std::shared_ptr<Item>;
+
+  bool is_engine() const { return std::holds_alternative<EngineTarget>(target_.kind); }
+  QueuedCall MakeQueuedCall(const Item& item) const;
+  EndpointOccupancy Occupancy() const;
+  void Pump();
+  void Run(const ItemPtr& item);
+  void RunModel(const ItemPtr& item, const wire::ModelDispatch& work);
+  void RunTool(const ItemPtr& item, const wire::ToolDispatch& work);
+  void Finish(const ItemPtr& item, const Outcome& outcome, std::string body, wire::Usage usage);
+  void Refuse(const ItemPtr& item, NotRunReason reason, std::uint32_t retry_after_ms);
+  void RefuseQueued(NotRunReason reason);
+  void PollLoad();
+  void PollHolds();
+  void Release(const ProgramId& program);
+  bool IsGone(const ProgramId& program) const;
+
+  Context context_;
+  EndpointTarget target_;
+  std::unique_ptr<EndpointQueue> queue_;
+  Admission admission_;
+  std::map<QueuedCallId, ItemPtr> items_;
+  std::size_t running_ = 0;
+  QueuedCallId last_id_;
+  double mean_output_;
+  double mean_cost_;
+  bool reported_leaving_ = false;
+  bool unreachable_ = false;
+  std::uint32_t failed_polls_ = 0;
+  MonotonicTime next_load_poll_{};
+  MonotonicTime next_hold_poll_{};
+  /// Programs that the engine may hold KV cache for.
+  std::set<ProgramId> held_;
+  /// Holds without a live program and when they were first seen.
+  std::map<ProgramId, MonotonicTime> orphaned_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace acaciaspring::daemon
+
+#endif  // ACACIASPRING_SRC_DAEMON_ENDPOINT_WORKER_H_
--- /dev/null
+++ b/src/daemon/home_runner.h
@@ -0,0 +1,83 @@
+#ifndef ACACIASPRING_SRC_DAEMON_HOME_RUNNER_H_
+#define ACACIASPRING_SRC_DAEMON_HOME_RUNNER_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+
+#include "acaciaspring/program.h"
+#include "acaciaspring/routing.h"
+#include "acaciaspring/scheduling.h"
+#include "src/daemon/cluster.h"
+
+namespace acaciaspring::daemon {
+
+/// @brief Runs the home of this daemon: appends its records, chooses endpoints, sends work to their
+/// dispatchers and answers to the entries.
+class HomeRunner {
+ public:
+  HomeRunner(Context context, const Cluster& cluster);
+
+  void OnConfiguration();
+  void OnCall(ChannelId channel, const wire::CallRequest& request);
+  void OnCallCancelled(ChannelId channel, const wire::CallCancelled& cancelled);
+  void OnDispatchEvent(ChannelId channel, const wire::DispatchEvent& event);
+  void OnDispatchFinished(ChannelId channel, wire::DispatchFinished finished);
+  void OnEndpointReport(const wire::EndpointReport& report);
+  void OnChannelClosed(ChannelId channel);
+  void OnOwnershipChanged();
+  void OnProgramEnded(const ProgramId& program);
+  void Tick();
+
+  void SetStopped(ShardId shard, bool stopped) { home_.SetDraining(shard, stopped); }
+  std::set<ShardId> BusyShards() const { return home_.BusyShards(); }
+  std::size_t active_calls() const { return home_.active_calls(); }
+
+ private:
+  struct PendingDispatch {
+    ChannelId channel;
+    EndpointId endpoint;
+    bool is_model = false;
+    bool started = false;
+    std::uint64_t prompt_tokens = 0;
+    telemetry::Span span;
+  };
+
+  void Execute(program::Actions actions);
+  void Execute(program::AppendRecord action);
+  void Execute(program::StartDispatch action);
+  void Execute(const program::CancelDispatch& action);
+  void Execute(program::SendEvent action);
+  void Execute(program::SendFinished action);
+  void Execute(const program::SendWrongOwner& action);
+
+  /// @brief Chooses the endpoint of a model call.
+  std::optional<EndpointChoice> ChooseEngine(ExchangeId attempt,
+                                             const program::DispatchOrder& order,
+                                             const wire::ModelDispatch& work);
+  /// @brief Reports an attempt that could not be sent; never from within another action.
+  void RefuseLater(ExchangeId attempt, NotRunReason reason);
+  void FinishAttempt(ExchangeId attempt,
+                     const Outcome& outcome,
+                     std::string body,
+                     wire::Usage usage);
+
+  Context context_;
+  const Cluster& cluster_;
+  program::Home home_;
+  EndpointChooser chooser_;
+  RetryBudget retries_;
+  std::unordered_map<ExchangeId, PendingDispatch> pending_;
+  std::set<EndpointId> known_endpoints_;
+  /// Endpoints that failed the last attempts of a program; later attempts avoid them.
+  std::unordered_map<ProgramId, std::vector<EndpointId>> avoided_;
+};
+
+/// @brief Id under which a tool service is dispatched.
+EndpointId EndpointOfService(const ServiceId& service);
+
+}  // namespace acaciaspring::daemon
+
+#endif  // ACACIASPRING_SRC_DAEMON_HOME_RUNNER_H_
--- /dev/null
+++ b/src/daemon/http_answers.h
@@ -0,0 +1,33 @@
+#ifndef ACACIASPRING_SRC_DAEMON_HTTP_ANSWERS_H_
+#define ACACIASPRING_SRC_DAEMON_HTTP_ANSWERS_H_
+
+#include <string>
+#include <string_view>
+
+#include "acaciaspring/net.h"
+
+namespace acaciaspring::daemon {
+
+/// @brief Errors of the HTTP interface that are found before a call reaches its home.
+enum class RequestError {
+  kNotFound,
+  kMethodNotAllowed,
+  kUnauthorized,
+  kInvalidJson,
+  kInvalidField,
+  kMissingKey,
+  kTooLarge,
+  kNotReady,
+};
+
+/// @brief HTTP status of an outcome that is not Completed.
+int StatusOf(const Outcome& outcome);
+/// @brief The error document of an outcome that is not Completed.
+std::string ErrorDocument(const Outcome& outcome);
+void RespondJson(net::HttpResponder& responder, int status, std::string_view body);
+void RespondError(net::HttpResponder& responder, RequestError error, std::string_view detail);
+void RespondOutcome(net::HttpResponder& responder, const Outcome& outcome);
+
+}  // namespace acaciaspring::daemon
+
+#endif  // ACACIASPRING_SRC_DAEMON_HTTP_ANSWERS_H_
--- /dev/null
+++ b/src/main/acaciaspringctl.cc
@@ -0,0 +1,107 @@
+#include <boost/program_options.hpp>
+#include <cstdlib>
+#include <iostream>
+#include <optional>
+#include <string>
+
+#include "acaciaspring/ctl.h"
+
+namespace {
+
+namespace ctl = acaciaspring::ctl;
+namespace options = boost::program_options;
+
+constexpr const char* kUsage =
+    "acaciaspringctl: operates a cluster of acaciaspring daemons.\n\n"
+    "  check DIR     check a folder of configuration files; reports file, line and key of "
+    "mistakes\n"
+    "  diff DIR      show what apply would change\n"
+    "  apply DIR     publish the folder as the new configuration\n"
+    "  status        members, roles, revision in force, queues and log health\n"
+    "  programs      list programs\n"
+    "  entries       addresses that callers may use\n"
+    "  drain         start the graceful shutdown of the daemon given by --server\n\n"
+    "Exit codes: 0 done, 1 refused or no answer, 2 mistakes in the command line or folder,\n"
+    "3 conflict with another change, 4 outcome of apply not known.\n\n"
+    "The operator key is read from the environment variable ACACIASPRING_OPERATOR_KEY.\n\nOptions";
+
+std::optional<ctl::Command> MakeCommand(const options::variables_map& values) {
+  const auto name = values["command"].as<std::string>();
+  const std::string folder = values.contains("folder") ? values["folder"].as<std::string>() : "";
+  if (name == "check" && !folder.empty()) {
+    return ctl::Check{folder};
+  }
+  if (name == "diff" && !folder.empty()) {
+    return ctl::Diff{folder};
+  }
+  if (name == "apply" && !folder.empty()) {
+    ctl::Apply apply;
+    apply.folder = folder;
+    if (values.contains("base")) {
+      apply.base = acaciaspring::Revision(values["base"].as<std::uint64_t>());
+    }
+    return apply;
+  }
+  if (!folder.empty()) {
+    return std::nullopt;
+  }
+  if (name == "status") {
+    return ctl::Status{};
+  }
+  if (name == "programs") {
+    return ctl::Programs{values.contains("ended")};
+  }
+  if (name == "entries") {
+    return ctl::Entries{};
+  }
+  if (name == "drain") {
+    return ctl::Drain{};
+  }
+  return std::nullopt;
+}
+
+int RunTool(int argc, char** argv) {
+  options::options_description visible(kUsage);
+  visible.add_options()("help,h", "print this text")(
+      "server,s", options::value<std::string>()->default_value("127.0.0.1:8001"),
+      "HTTP address of a daemon")("base", options::value<std::uint64_t>(),
+                                  "apply: revision that the change is based on")(
+      "ended", "programs: include ended programs")("json", "status, programs: print JSON");
+  options::options_description all;
+  all.add(visible).add_options()("command", options::value<std::string>())(
+      "folder", options::value<std::string>());
+  options::positional_options_description positional;
+  positional.add("command", 1).add("folder", 1);
+  options::variables_map values;
+  options::store(options::command_line_parser(argc, argv).options(all).positional(positional).run(),
+                 values);
+  if (values.contains("help")) {
+    std::cout << visible;
+    return 0;
+  }
+  const auto command = values.contains("command") ? MakeCommand(values) : std::nullopt;
+  if (!command.has_value()) {
+    std::cerr << "acaciaspringctl: unknown command or wrong arguments; see --help\n";
+    return static_cast<int>(ctl::ExitCode::kInvalid);
+  }
+  ctl::Options ctl_options;
+  ctl_options.server = acaciaspring::net::ParseAddress(values["server"].as<std::string>());
+  ctl_options.json = values.contains("json");
+  if (const char* key = std::getenv("ACACIASPRING_OPERATOR_KEY")) {
+    ctl_options.operator_key = key;
+  }
+  return static_cast<int>(ctl::Run(*command, ctl_options, std::cout, std::cerr));
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  try {
+    return RunTool(argc, argv);
+  } catch (const options::error& error) {
+    std::cerr << "acaciaspringctl: " << error.what() << "\n";
+  } catch (const acaciaspring::Error& error) {
+    std::cerr << "acaciaspringctl: " << error.what() << "\n";
+  }
+  return static_cast<int>(ctl::ExitCode::kInvalid);
+}
--- a/src/program/delivery.cc
+++ b/src/program/delivery.cc
@@ -85,7 +85,8 @@
     listener.sent = listener.resume.bytes;
   }
   if (answer.size() > listener.sent) {
-    actions_.push_back(SendEvent{listener.subscriber, listener.sent, answer.substr(listener.sent)});
+    actions_.push_back(SendEvent{listener.subscriber, listener.sent, answer.substr(listener.sent),
+                                 Hash64(answer)});
     listener.sent = answer.size();
   }
   return true;
--- a/src/program/home.cc
+++ b/src/program/home.cc
@@ -75,13 +75,12 @@
   return impl_->TakeActions();
 }
 
-bool Home::Busy(ShardId shard) const {
+std::set<ShardId> Home::BusyShards() const {
+  std::set<ShardId> shards;
   for (const auto& [program, calls] : impl_->programs_) {
-    if (ShardOf(program) == shard) {
-      return true;
-    }
+    shards.insert(ShardOf(program));
   }
-  return false;
+  return shards;
 }
 
 std::size_t Home::active_calls() const {
