--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -10,7 +10,9 @@
 #include <optional>
 #include <random>
 #include <span>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "acaciaspring/base.h"
@@ -134,8 +136,8 @@
 struct LoadReport {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  TokenCount kv_used;
-  TokenCount kv_capacity;
+  TokenCount kv_used{};
+  TokenCount kv_capacity{};
   bool leaving = false;
   MonotonicTime sampled_at;
 };
@@ -149,16 +151,16 @@
 struct RoutingRequest {
   ServiceId service;
   /// Zone of the daemon that will dispatch the call.
-  AvailabilityZone zone;
+  AvailabilityZone zone{};
   /// History of the program; none for plain services.
-  std::optional<PrefixId> program_prefix;
-  std::optional<SharedPrefix> shared_prefix;
-  TokenCount prompt;
-  TokenCount expected_output;
+  std::optional<PrefixId> program_prefix{};
+  std::optional<SharedPrefix> shared_prefix{};
+  TokenCount prompt{};
+  TokenCount expected_output{};
   /// Expected service time of a call to a plain service.
   Duration expected_duration{};
   /// Endpoints that already failed this call.
-  std::vector<EndpointId> excluded;
+  std::vector<EndpointId> excluded{};
 };
 
 struct EndpointChooserOptions {
@@ -236,6 +238,8 @@
     std::uint32_t endpoint = 0;
     double pending_prefill = 0;
     MonotonicTime started;
+    std::optional<MonotonicTime> first_token;
+    Duration prefill{};
     std::optional<PrefixId> program_prefix;
     std::optional<SharedPrefix> shared_prefix;
   };
--- a/include/acaciaspring/scheduling.h
+++ b/include/acaciaspring/scheduling.h
@@ -35,6 +35,8 @@
   TokenCount expected_output;
   MonotonicTime deadline = MonotonicTime::max();
   MonotonicTime enqueued_at;
+  /// Set by EndpointQueue::Pop: the call was served out of rank order to keep a minimum share.
+  bool served_below_share = false;
 };
 
 struct PriorityClassPolicy {
@@ -49,8 +51,8 @@
 };
 
 struct EndpointQueueOptions {
-  std::vector<PriorityClassPolicy> classes;
-  std::unordered_map<OrganisationId, double> organisation_weights;
+  std::vector<PriorityClassPolicy> classes{};
+  std::unordered_map<OrganisationId, double> organisation_weights{};
   double default_weight = 1;
   /// Cost that an organisation of weight 1 may spend per round.
   double quantum = 1024;
@@ -84,6 +86,8 @@
   double urgent = 0;
   /// Cost of the call's own class that precedes it.
   double own_class = 0;
+  /// Sum of the minimum shares of the less urgent classes with queued calls.
+  double lower_shares = 0;
 };
 
 /// @brief Calls that wait for one endpoint, in service order.
@@ -120,37 +124,53 @@
   WorkAhead Ahead(const QueuedCall& call, double limit) const;
 
  private:
+  struct Position {
+    double key = 0;
+    QueuedCallId id;
+    double cost = 0;
+    bool operator<(const Position& other) const {
+      return key != other.key ? key < other.key : id < other.id;
+    }
+  };
   struct OrganisationQueue {
-    std::set<std::pair<double, QueuedCallId>> order;
+    std::set<Position> order;
+    double weight = 1;
     double cost = 0;
     double deficit = 0;
+    /// Whether the quantum of the current round was added to the deficit.
     bool granted = false;
-    std::list<OrganisationId>::iterator position;
+    std::list<OrganisationQueue*>::iterator position;
   };
   struct ClassQueue {
     PriorityClassPolicy policy;
     std::unordered_map<OrganisationId, OrganisationQueue> organisations;
-    std::list<OrganisationId> round;
+    /// Organisations with queued calls; the front one is served next.
+    std::list<OrganisationQueue*> round;
     double cost = 0;
+    /// Cost that the class is owed to reach its minimum share; negative after it got more.
     double credit = 0;
     double active_weight = 0;
   };
   using CallMap = std::unordered_map<QueuedCallId, QueuedCall>;
 
-  std::size_t ClassIndex(const PriorityClassId& priority_class) const;
-  OrganisationId QueueKey(const QueuedCall& call) const;
-  double OrderKey(const QueuedCall& call) const;
+  std::size_t PolicyIndex(const PriorityClassId& priority_class) const;
+  std::size_t QueueIndex(const PriorityClassId& priority_class) const;
+  OrganisationId OrganisationKey(const QueuedCall& call) const;
+  Position PositionOf(const QueuedCall& call) const;
   double Weight(const OrganisationId& organisation) const;
-  std::optional<std::size_t> NextClass() const;
+  std::optional<std::size_t> MostUrgentIndex() const;
+  std::optional<std::size_t> OwedIndex() const;
   QueuedCallId NextInClass(ClassQueue& queue) const;
   void SkipEmptyRounds(ClassQueue& queue) const;
-  QueuedCall Take(CallMap::iterator call);
+  QueuedCall Take(CallMap::iterator found);
   void Charge(std::size_t served, double cost, bool below_share);
 
   EndpointQueueOptions options_;
   std::vector<ClassQueue> classes_;
   CallMap calls_;
   std::set<std::pair<MonotonicTime, QueuedCallId>> deadlines_;
+  /// Calls that Pop found past their deadline.
+  std::vector<QueuedCall> expired_;
 };
 
 /// @brief What a dispatcher knows about its endpoint when a call arrives.
@@ -266,12 +286,17 @@
 
  private:
   struct Holder {
-    std::uint32_t concurrency = 0;
+    std::uint32_t wanted_calls = 0;
+    std::uint32_t wanted_concurrency = 0;
+    /// Slots of the unexpired grants; the holder may still use an older one if an answer was lost.
+    std::vector<std::pair<std::uint32_t, MonotonicTime>> slots;
     MonotonicTime deadline{};
   };
   void Refill(MonotonicTime now);
   void DropExpired(MonotonicTime now);
-  std::uint32_t SlotsFor(const DaemonId& holder, const GrantRequest& request) const;
+  std::uint32_t FairShare(std::uint32_t Holder::*wanted,
+                          std::uint32_t own,
+                          std::uint32_t available) const;
 
   OrganisationLimit limit_;
   LimitGrantorOptions options_;
@@ -292,7 +317,8 @@
  public:
   explicit LimitHolder(LimitHolderOptions options = {});
   /// @return none if the call may start (End must follow), else kRateLimited or
-  /// kConcurrencyLimited.
+  /// kConcurrencyLimited. Without a grant a caller sends NextRequest() and may try again after
+  /// OnGrant().
   std::optional<NotRun> TryStart(MonotonicTime now);
   void End();
   /// @return a request to send to the grantor if one is due.
@@ -313,8 +339,10 @@
   std::uint32_t calls_ = 0;
   std::uint32_t concurrency_ = 0;
   std::uint32_t running_ = 0;
-  std::uint32_t peak_running_ = 0;
+  /// Starts asked for and most calls at a time since the last request.
   std::uint32_t asked_ = 0;
+  std::uint32_t peak_running_ = 0;
+  bool refused_ = false;
 };
 
 /// @brief A call that an endpoint runs.
--- /dev/null
+++ b/src/scheduling/endpoint_queue.cc
@@ -0,0 +1,308 @@
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "acaciaspring/scheduling.h"
+
+namespace acaciaspring {
+namespace {
+
+void Validate(const EndpointQueueOptions& options) {
+  double shares = 0;
+  std::set<std::uint32_t> ranks;
+  for (const auto& policy : options.classes) {
+    shares += policy.minimum_share;
+    ranks.insert(policy.rank);
+  }
+  const bool positive = options.quantum > 0 && options.default_weight > 0 &&
+                        std::ranges::all_of(options.organisation_weights,
+                                            [](const auto& entry) { return entry.second > 0; });
+  if (options.classes.empty() || ranks.size() != options.classes.size() || shares >= 1 ||
+      !positive) {
+    throw SchedulingError(SchedulingError::Kind::kInvalidOptions,
+                          "endpoint queue: classes need distinct ranks and shares below 1 in sum; "
+                          "quantum and weights must be positive");
+  }
+}
+
+double Seconds(MonotonicTime time) {
+  return std::chrono::duration<double>(time.time_since_epoch()).count();
+}
+
+}  // namespace
+
+EndpointQueue::EndpointQueue(EndpointQueueOptions options) : options_(std::move(options)) {
+  Validate(options_);
+  std::ranges::sort(options_.classes, {}, &PriorityClassPolicy::rank);
+  for (const auto& policy : options_.classes) {
+    classes_.emplace_back().policy = policy;
+  }
+}
+
+std::size_t EndpointQueue::PolicyIndex(const PriorityClassId& priority_class) const {
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    if (classes_[i].policy.id == priority_class) {
+      return i;
+    }
+  }
+  throw SchedulingError(SchedulingError::Kind::kUnknownClass,
+                        "unknown priority class " + priority_class.value());
+}
+
+std::size_t EndpointQueue::QueueIndex(const PriorityClassId& priority_class) const {
+  const std::size_t index = PolicyIndex(priority_class);
+  return options_.order_by_class ? index : 0;
+}
+
+OrganisationId EndpointQueue::OrganisationKey(const QueuedCall& call) const {
+  return options_.fair_organisations ? call.organisation : OrganisationId();
+}
+
+double EndpointQueue::Weight(const OrganisationId& organisation) const {
+  const auto found = options_.organisation_weights.find(organisation);
+  return found == options_.organisation_weights.end() ? options_.default_weight : found->second;
+}
+
+double EndpointQueue::Cost(const QueuedCall& call) const {
+  return options_.prompt_token_cost * static_cast<double>(call.expected_prompt.value()) +
+         static_cast<double>(call.expected_output.value());
+}
+
+// Ageing lowers the key of every waiting call at the same rate, so the order of two calls never
+// changes while they wait and the enqueue time can stand for the time waited.
+EndpointQueue::Position EndpointQueue::PositionOf(const QueuedCall& call) const {
+  double key = Seconds(call.enqueued_at);
+  if (options_.least_attained_service) {
+    key = static_cast<double>(call.attained_service.value()) +
+          options_.ageing_tokens_per_second * key;
+  }
+  return {.key = key, .id = call.id, .cost = Cost(call)};
+}
+
+bool EndpointQueue::Push(QueuedCall call) {
+  ClassQueue& queue = classes_[QueueIndex(call.priority_class)];
+  if (calls_.contains(call.id)) {
+    throw SchedulingError(SchedulingError::Kind::kDuplicateCall, "call id is already queued");
+  }
+  if (calls_.size() >= options_.capacity) {
+    return false;
+  }
+  const auto [found, added] = queue.organisations.try_emplace(OrganisationKey(call));
+  OrganisationQueue& organisation = found->second;
+  if (added) {
+    organisation.weight = Weight(found->first);
+    organisation.position = queue.round.insert(queue.round.end(), &organisation);
+    queue.active_weight += organisation.weight;
+  }
+  const Position position = PositionOf(call);
+  organisation.order.insert(position);
+  organisation.cost += position.cost;
+  queue.cost += position.cost;
+  deadlines_.emplace(call.deadline, call.id);
+  calls_.emplace(call.id, std::move(call));
+  return true;
+}
+
+std::optional<std::size_t> EndpointQueue::MostUrgentIndex() const {
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    if (!classes_[i].round.empty()) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t> EndpointQueue::OwedIndex() const {
+  for (std::size_t i = 0; options_.keep_minimum_shares && i < classes_.size(); ++i) {
+    if (!classes_[i].round.empty() && classes_[i].credit > 0) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<QueuedCall> EndpointQueue::Pop(MonotonicTime now) {
+  while (const auto urgent = MostUrgentIndex()) {
+    const std::size_t served = OwedIndex().value_or(*urgent);
+    QueuedCall call = Take(calls_.find(NextInClass(classes_[served])));
+    if (call.deadline <= now) {
+      expired_.push_back(std::move(call));
+      continue;
+    }
+    const OrganisationId key = OrganisationKey(call);
+    const auto organisation = classes_[served].organisations.find(key);
+    if (organisation != classes_[served].organisations.end()) {
+      organisation->second.deficit -= Cost(call);
+    }
+    call.served_below_share = served != *urgent;
+    Charge(served, Cost(call), call.served_below_share);
+    return call;
+  }
+  return std::nullopt;
+}
+
+QueuedCallId EndpointQueue::NextInClass(ClassQueue& queue) const {
+  for (std::size_t visited = 1;; ++visited) {
+    OrganisationQueue& organisation = *queue.round.front();
+    if (!organisation.granted) {
+      organisation.deficit += options_.quantum * organisation.weight;
+      organisation.granted = true;
+    }
+    const Position& head = *organisation.order.begin();
+    if (head.cost <= organisation.deficit) {
+      return head.id;
+    }
+    organisation.granted = false;
+    queue.round.splice(queue.round.end(), queue.round, queue.round.begin());
+    if (visited == queue.round.size()) {
+      SkipEmptyRounds(queue);
+    }
+  }
+}
+
+// Adds the quanta of the rounds in which no organisation can afford its next call at once; a call
+// with a cost of many quanta would otherwise take as many passes over all organisations.
+void EndpointQueue::SkipEmptyRounds(ClassQueue& queue) const {
+  double rounds = std::numeric_limits<double>::infinity();
+  for (const OrganisationQueue* organisation : queue.round) {
+    const double missing = organisation->order.begin()->cost - organisation->deficit;
+    rounds = std::min(rounds, std::ceil(missing / (options_.quantum * organisation->weight)));
+  }
+  for (OrganisationQueue* organisation : queue.round) {
+    organisation->deficit += std::max(0.0, rounds - 1) * options_.quantum * organisation->weight;
+  }
+}
+
+// A class that is served by rank owes nothing for it, because no more urgent call waited. Credit
+// only grows while the class waits. An empty class keeps up to a quantum of it, so that a class
+// whose callers send one call after the other gets its share too.
+void EndpointQueue::Charge(std::size_t served, double cost, bool below_share) {
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    ClassQueue& queue = classes_[i];
+    const double earned = queue.policy.minimum_share * cost;
+    if (i == served) {
+      queue.credit += earned;
+      queue.credit -= below_share ? cost : std::clamp(queue.credit, 0.0, std::max(0.0, cost));
+    } else if (!queue.round.empty()) {
+      queue.credit += earned;
+    } else if (queue.credit < 0) {
+      queue.credit = std::min(queue.credit + earned, 0.0);
+    }
+    if (queue.round.empty()) {
+      queue.credit = std::min(queue.credit, options_.quantum);
+    }
+  }
+}
+
+QueuedCall EndpointQueue::Take(CallMap::iterator found) {
+  QueuedCall call = std::move(found->second);
+  calls_.erase(found);
+  deadlines_.erase({call.deadline, call.id});
+  ClassQueue& queue = classes_[QueueIndex(call.priority_class)];
+  const auto entry = queue.organisations.find(OrganisationKey(call));
+  OrganisationQueue& organisation = entry->second;
+  const Position position = PositionOf(call);
+  organisation.order.erase(position);
+  organisation.cost -= position.cost;
+  queue.cost -= position.cost;
+  if (organisation.order.empty()) {
+    queue.active_weight -= organisation.weight;
+    queue.round.erase(organisation.position);
+    queue.organisations.erase(entry);
+  }
+  if (queue.round.empty()) {
+    // Removes what rounding has left in the sums.
+    queue.cost = 0;
+    queue.active_weight = 0;
+  }
+  return call;
+}
+
+std::optional<QueuedCall> EndpointQueue::Remove(QueuedCallId id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) {
+    return std::nullopt;
+  }
+  return Take(found);
+}
+
+std::vector<QueuedCall> EndpointQueue::ExpireBefore(MonotonicTime now) {
+  std::vector<QueuedCall> expired = std::exchange(expired_, {});
+  while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+    expired.push_back(Take(calls_.find(deadlines_.begin()->second)));
+  }
+  return expired;
+}
+
+void EndpointQueue::OnServed(const QueuedCall& call, TokenCount prompt, TokenCount output) {
+  QueuedCall actual = call;
+  actual.expected_prompt = prompt;
+  actual.expected_output = output;
+  const double difference = Cost(actual) - Cost(call);
+  const std::size_t index = QueueIndex(call.priority_class);
+  ClassQueue& queue = classes_[index];
+  const auto organisation = queue.organisations.find(OrganisationKey(call));
+  if (organisation != queue.organisations.end()) {
+    organisation->second.deficit -= difference;
+  }
+  Charge(index, difference, call.served_below_share);
+}
+
+std::optional<MonotonicTime> EndpointQueue::NextDeadline() const {
+  if (deadlines_.empty()) {
+    return std::nullopt;
+  }
+  return deadlines_.begin()->first;
+}
+
+std::optional<PriorityClassId> EndpointQueue::MostUrgentClass() const {
+  const auto index = MostUrgentIndex();
+  return index ? std::optional(classes_[*index].policy.id) : std::nullopt;
+}
+
+bool EndpointQueue::BelowMinimumShare(const PriorityClassId& priority_class) const {
+  const ClassQueue& queue = classes_[PolicyIndex(priority_class)];
+  return options_.keep_minimum_shares && !queue.round.empty() && queue.credit > 0;
+}
+
+const PriorityClassPolicy& EndpointQueue::Policy(const PriorityClassId& priority_class) const {
+  return classes_[PolicyIndex(priority_class)].policy;
+}
+
+WorkAhead EndpointQueue::Ahead(const QueuedCall& call, double limit) const {
+  WorkAhead ahead;
+  const std::size_t index = QueueIndex(call.priority_class);
+  for (std::size_t i = 0; i < classes_.size(); ++i) {
+    if (i < index) {
+      ahead.urgent += classes_[i].cost;
+    } else if (i > index && !classes_[i].round.empty() && options_.keep_minimum_shares) {
+      ahead.lower_shares += classes_[i].policy.minimum_share;
+    }
+  }
+  const ClassQueue& queue = classes_[index];
+  const OrganisationId key = OrganisationKey(call);
+  const double weight = Weight(key);
+  double own_cost = 0;
+  double other_weight = queue.active_weight;
+  const auto organisation = queue.organisations.find(key);
+  if (organisation != queue.organisations.end()) {
+    const Position position = PositionOf(call);
+    for (const Position& queued : organisation->second.order) {
+      if (!(queued < position) || own_cost > limit) {
+        break;
+      }
+      own_cost += queued.cost;
+    }
+    other_weight -= weight;
+  }
+  const double own_total =
+      organisation == queue.organisations.end() ? 0 : organisation->second.cost;
+  // While the organisation is served what precedes the call and the call itself, the others get at
+  // most their weight in proportion, and at most what they have queued.
+  const double others = std::min(queue.cost - own_total,
+                                 (own_cost + Cost(call)) * std::max(0.0, other_weight) / weight);
+  ahead.own_class = own_cost + std::max(0.0, others);
+  return ahead;
+}
+
+}  // namespace acaciaspring
