Fold the log into the state of shards, programs and configuration

Cause: every daemon needs the same state from the same log, also after races and lost answers. Change: State with its rules for claims, releases, programs, sub-agents, effects, configuration and checkpoints; the writer's queue; the checkpoint planner.

--- a/include/acaciaspring/journal.h
+++ b/include/acaciaspring/journal.h
@@ -348,9 +348,19 @@
 struct Batch {
   std::vector<Envelope> envelopes;
   template <class Archive>
-  void serialize(Archive& archive) {
+  void save(Archive& archive) const {
     archive(envelopes);
   }
+  /// Grows by one envelope at a time: a damaged count must not allocate that many envelopes.
+  template <class Archive>
+  void load(Archive& archive) {
+    cereal::size_type count = 0;
+    archive(cereal::make_size_tag(count));
+    envelopes.clear();
+    for (cereal::size_type index = 0; index < count; ++index) {
+      archive(envelopes.emplace_back());
+    }
+  }
 };
 
 enum class RejectReason : std::uint8_t {
@@ -491,6 +501,8 @@
   std::size_t max_queued_bytes = std::size_t{64} << 20;
   std::size_t max_queued_records = 100'000;
   std::size_t max_batch_bytes = std::size_t{1} << 20;
+  /// A larger record than a batch (a checkpoint of a long program) travels alone, up to this size.
+  std::size_t max_record_bytes = std::size_t{3} << 20;
   double appends_per_second = 100;
   Duration append_timeout = std::chrono::seconds(2);
   Duration first_retry_delay = std::chrono::milliseconds(50);
--- /dev/null
+++ b/src/journal/program_rules.cc
@@ -0,0 +1,132 @@
+#include "src/journal/program_rules.h"
+
+#include <algorithm>
+
+namespace acaciaspring::journal {
+
+namespace {
+
+bool CallsExhausted(const Program& program) {
+  return program.call_count >= program.max_calls;
+}
+
+/// Budget that neither earlier turns nor children have taken.
+TokenCount Uncommitted(const Program& program) {
+  const TokenCount taken = program.spent + program.reserved;
+  return taken < program.budget ? program.budget - taken : TokenCount();
+}
+
+}  // namespace
+
+TokenCount FreeBudget(const Program& program) {
+  const TokenCount uncommitted = Uncommitted(program);
+  return program.authorised < uncommitted ? uncommitted - program.authorised : TokenCount();
+}
+
+std::string NextChain(std::string_view previous, TurnNumber number, const Turn& turn) {
+  return HashHex(wire::Encode(std::string(previous)) + wire::Encode(number) + wire::Encode(turn));
+}
+
+void SpendAuthorisedAmount(Program& program) {
+  program.spent += program.authorised;
+  program.authorised = TokenCount();
+}
+
+void ClearHistory(Program& program) {
+  program.turns = {};
+  program.results = {};
+  program.effects = {};
+  program.children = {};
+}
+
+Verdict ApplyRule(Program& program, const SpendAuthorised& record) {
+  if (record.amount > Uncommitted(program)) {
+    return Rejected{RejectReason::kBudgetExhausted};
+  }
+  program.authorised = record.amount;
+  return Accepted{};
+}
+
+Verdict ApplyRule(Program& program, const TurnCommitted& record) {
+  if (const auto known = program.results.find(record.key); known != program.results.end()) {
+    const bool is_turn = std::holds_alternative<TurnResult>(known->second);
+    return Rejected{is_turn ? RejectReason::kKeyExists : RejectReason::kKeyConflict};
+  }
+  if (program.effects.contains(record.key)) {
+    return Rejected{RejectReason::kKeyConflict};
+  }
+  if (record.turn != program.turn_count + TurnNumber(1)) {
+    return Rejected{RejectReason::kWrongTurn};
+  }
+  if (CallsExhausted(program)) {
+    return Rejected{RejectReason::kCallLimitReached};
+  }
+  Turn turn{record.key, record.model, record.messages, record.answer, record.usage};
+  ++program.call_count;
+  program.turn_count = record.turn;
+  program.chain = NextChain(program.chain, record.turn, turn);
+  program.results[record.key] = TurnResult{record.turn};
+  program.turns.push_back(std::move(turn));
+  // A usage above the authorised amount is recorded as well, because the call did run.
+  program.spent += record.usage.prompt + record.usage.completion;
+  program.authorised = std::min(record.next_authorised, Uncommitted(program));
+  return Accepted{};
+}
+
+Verdict ApplyRule(Program& program, const ToolCallCommitted& record) {
+  if (program.effects.contains(record.key)) {
+    return Rejected{RejectReason::kKeyConflict};
+  }
+  if (const auto known = program.results.find(record.key); known != program.results.end()) {
+    const auto* tool = std::get_if<ToolResult>(&known->second);
+    if (tool == nullptr || tool->service != record.service) {
+      return Rejected{RejectReason::kKeyConflict};
+    }
+    // An idempotent call that did not run, or may not have run, may be repeated under its key.
+    if (!std::holds_alternative<NotRun>(tool->outcome) &&
+        !std::holds_alternative<Unknown>(tool->outcome)) {
+      return Rejected{RejectReason::kKeyExists};
+    }
+  }
+  if (CallsExhausted(program)) {
+    return Rejected{RejectReason::kCallLimitReached};
+  }
+  ++program.call_count;
+  program.results[record.key] = ToolResult{record.service, record.outcome, record.body};
+  return Accepted{};
+}
+
+Verdict ApplyRule(Program& program, const EffectIntended& record) {
+  if (program.results.contains(record.key)) {
+    return Rejected{RejectReason::kKeyConflict};
+  }
+  if (const auto known = program.effects.find(record.key); known != program.effects.end()) {
+    const Effect& effect = known->second;
+    if (effect.service != record.service || effect.request_digest != record.request_digest) {
+      return Rejected{RejectReason::kKeyConflict};
+    }
+    if (effect.state != EffectState::kFinished || !std::holds_alternative<NotRun>(effect.outcome)) {
+      return Rejected{RejectReason::kKeyExists};
+    }
+  }
+  if (CallsExhausted(program)) {
+    return Rejected{RejectReason::kCallLimitReached};
+  }
+  ++program.call_count;
+  program.effects[record.key] =
+      Effect{record.service, record.request_digest, EffectState::kIntended, {}, {}, record.epoch};
+  return Accepted{};
+}
+
+Verdict ApplyRule(Program& program, const EffectFinished& record) {
+  const auto known = program.effects.find(record.key);
+  if (known == program.effects.end() || known->second.state != EffectState::kIntended) {
+    return Rejected{RejectReason::kNoIntent};
+  }
+  known->second.state = EffectState::kFinished;
+  known->second.outcome = record.outcome;
+  known->second.body = record.body;
+  return Accepted{};
+}
+
+}  // namespace acaciaspring::journal
--- /dev/null
+++ b/src/journal/state_data.cc
@@ -0,0 +1,139 @@
+#include "src/journal/state_data.h"
+
+namespace acaciaspring::journal {
+
+namespace {
+
+constexpr std::int64_t kTimeSampleMs = 10'000;
+constexpr std::size_t kMaxTimeSamples = 8192;
+
+}  // namespace
+
+bool IsDecidable(const StateData& data, const RecordPlace& place) {
+  return place.observed + Offset(1) >= data.first;
+}
+
+ShardEntry& StateData::Shard(ShardId id) {
+  const auto [entry, added] = shards.try_emplace(id);
+  if (added) {
+    entry->second.needed = first;
+    entry->second.touched = first - Offset(1);
+  }
+  return entry->second;
+}
+
+ProgramEntry* StateData::Find(const ProgramId& id) {
+  const auto entry = programs.find(id);
+  return entry == programs.end() ? nullptr : &entry->second;
+}
+
+ProgramEntry& StateData::Insert(ProgramEntry entry) {
+  const ProgramId id = entry.program.id;
+  shard_index[ShardOf(id)].insert(id);
+  for (const ProgramId& child : entry.program.children) {
+    parent_index[child] = id;
+  }
+  if (entry.program.ended) {
+    tombstones.emplace(entry.program.last_activity_ms, id);
+  } else {
+    ++live_programs;
+  }
+  if (const auto touch = unknown.find(id); touch != unknown.end()) {
+    unknown_by_offset.erase({touch->second.touched, id});
+    unknown.erase(touch);
+  }
+  return programs[id] = std::move(entry);
+}
+
+void StateData::Erase(const ProgramId& id) {
+  const auto entry = programs.find(id);
+  if (entry == programs.end()) {
+    return;
+  }
+  const Program& program = entry->second.program;
+  const auto index = shard_index.find(ShardOf(id));
+  index->second.erase(id);
+  if (index->second.empty()) {
+    shard_index.erase(index);
+  }
+  for (const ProgramId& child : program.children) {
+    parent_index.erase(child);
+  }
+  if (program.ended) {
+    tombstones.erase({program.last_activity_ms, id});
+  } else {
+    --live_programs;
+  }
+  programs.erase(entry);
+}
+
+void StateData::RebuildIndexes() {
+  shard_index.clear();
+  parent_index.clear();
+  tombstones.clear();
+  unknown_by_offset.clear();
+  live_programs = 0;
+  for (const auto& [id, entry] : programs) {
+    shard_index[ShardOf(id)].insert(id);
+    for (const ProgramId& child : entry.program.children) {
+      parent_index[child] = id;
+    }
+    if (entry.program.ended) {
+      tombstones.emplace(entry.program.last_activity_ms, id);
+    } else {
+      ++live_programs;
+    }
+  }
+  for (const auto& [id, touch] : unknown) {
+    unknown_by_offset.emplace(touch.touched, id);
+  }
+}
+
+void StateData::NoteUnknown(const ProgramId& id, Offset offset, bool ended) {
+  UnknownTouch& touch = unknown[id];
+  unknown_by_offset.erase({touch.touched, id});
+  touch.touched = offset;
+  if (ended) {
+    touch.ended = offset;
+  }
+  unknown_by_offset.emplace(offset, id);
+}
+
+UnknownTouch StateData::UnknownTouchOf(const ProgramId& id) const {
+  const auto touch = unknown.find(id);
+  return touch == unknown.end() ? UnknownTouch() : touch->second;
+}
+
+void StateData::Expire(std::int64_t now_ms) {
+  while (!tombstones.empty() && tombstones.begin()->first + tombstone_ms <= now_ms) {
+    const ProgramId id = tombstones.begin()->second;
+    Erase(id);
+  }
+  while (!unknown_by_offset.empty() &&
+         unknown_by_offset.begin()->first.value() + kObservationHorizon < applied.value()) {
+    unknown.erase(unknown_by_offset.begin()->second);
+    unknown_by_offset.erase(unknown_by_offset.begin());
+  }
+}
+
+void StateData::SampleTime(Offset offset, std::int64_t now_ms) {
+  if (!times.empty() && now_ms < times.rbegin()->second + kTimeSampleMs) {
+    return;
+  }
+  times[offset] = now_ms;
+  std::erase_if(writers, [this, now_ms](const auto& writer) {
+    return writer.second.last_ms + tombstone_ms < now_ms;
+  });
+  if (times.size() <= kMaxTimeSamples) {
+    return;
+  }
+  // Halving the density keeps the whole retention period covered in bounded memory.
+  for (auto sample = std::next(times.begin()); sample != times.end();) {
+    sample = times.erase(sample);
+    if (sample != times.end()) {
+      ++sample;
+    }
+  }
+}
+
+}  // namespace acaciaspring::journal
--- /dev/null
+++ b/src/journal/state_test.cc
@@ -0,0 +1,312 @@
+#include <boost/test/unit_test.hpp>
+
+#include "src/journal/test_log.h"
+
+namespace acaciaspring::journal {
+
+namespace {
+
+/// A log in which "d1" owns the shard of the live program "p".
+struct OneProgram {
+  OneProgram() {
+    BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d1", program)));
+    BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", Creation(log, "p"))));
+  }
+  EffectIntended Intent(const std::string& key, const std::string& digest = "digest") const {
+    return {program, log.EpochOf(program), IdempotencyKey(key), ServiceId("orders"), digest};
+  }
+  EffectFinished Finish(const std::string& key, Outcome outcome) const {
+    return {program, log.EpochOf(program), IdempotencyKey(key), outcome, "body"};
+  }
+  SpendAuthorised Spend(std::uint64_t amount) const {
+    return {program, log.EpochOf(program), TokenCount(amount)};
+  }
+  ProgramEnded End(const ProgramId& id) const {
+    return {id, log.EpochOf(id), EndReason::kRequested};
+  }
+  TestLog log;
+  ProgramId program = IdOf("p");
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(state, OneProgram)
+
+// Two turns under one number, a gap or a repeated key would corrupt the history.
+BOOST_AUTO_TEST_CASE(turns_are_contiguous_and_keys_unique) {
+  BOOST_TEST(IsRejected(log.Append("d1", MakeTurn(log, program, 2)), RejectReason::kWrongTurn));
+  BOOST_TEST(IsAccepted(log.Append("d1", MakeTurn(log, program, 1))));
+  TurnCommitted repeated = MakeTurn(log, program, 2);
+  repeated.key = IdempotencyKey("turn-1");
+  BOOST_TEST(IsRejected(log.Append("d1", repeated), RejectReason::kKeyExists));
+  TurnCommitted again = MakeTurn(log, program, 1);
+  again.key = IdempotencyKey("other");
+  BOOST_TEST(IsRejected(log.Append("d1", again), RejectReason::kWrongTurn));
+  BOOST_TEST(IsAccepted(log.Append("d1", MakeTurn(log, program, 2))));
+  const Program& state = log.Get(program);
+  BOOST_TEST(state.turn_count.value() == 2U);
+  BOOST_TEST(state.spent.value() == 20U);
+  BOOST_TEST(state.chain == NextChain(NextChain("", TurnNumber(1), state.turns[0]), TurnNumber(2),
+                                      state.turns[1]));
+}
+
+// A paused former owner must not add to a program that a successor runs.
+BOOST_AUTO_TEST_CASE(records_of_a_former_owner_are_rejected) {
+  const TurnCommitted old = MakeTurn(log, program, 1);
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d2", program)));
+  BOOST_TEST(IsRejected(log.Append("d1", old), RejectReason::kStaleEpoch));
+  TurnCommitted forged = old;
+  forged.epoch = log.EpochOf(program);
+  BOOST_TEST(IsRejected(log.Append("d1", forged), RejectReason::kNotOwner));
+  BOOST_TEST(IsAccepted(log.Append("d2", MakeTurn(log, program, 1))));
+}
+
+// Two daemons that claim at once must not both believe that they own the shard.
+BOOST_AUTO_TEST_CASE(of_two_racing_claims_the_first_wins) {
+  const Offset seen = log.head();
+  ShardsClaimed claim{{}, DaemonId("d2"), Incarnation(1), seen};
+  claim.shards.Add(ShardOf(program));
+  BOOST_TEST(IsAccepted(log.AppendSeen("d2", seen, claim)));
+  claim.owner = DaemonId("d3");
+  BOOST_TEST(IsRejected(log.AppendSeen("d3", seen, claim), RejectReason::kStaleEpoch));
+  BOOST_TEST(log.state().OwnerOf(ShardOf(program))->daemon.value() == "d2");
+}
+
+// A claim in the name of another daemon would let that daemon act without having asked.
+BOOST_AUTO_TEST_CASE(claims_for_another_daemon_are_rejected) {
+  ShardsClaimed claim{{}, DaemonId("d2"), Incarnation(1), log.head()};
+  claim.shards.Add(ShardOf(program));
+  BOOST_TEST(IsRejected(log.Append("d3", claim), RejectReason::kInvalid));
+  BOOST_TEST(log.state().OwnerOf(ShardOf(program))->daemon.value() == "d1");
+}
+
+// What a crashed owner was authorised to spend may have been spent; what a releasing owner had is
+// known not to be.
+BOOST_AUTO_TEST_CASE(claim_without_release_spends_the_authorised_amount) {
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", Spend(300))));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d2", program)));
+  BOOST_TEST(log.Get(program).spent.value() == 300U);
+  BOOST_TEST(log.Get(program).authorised.value() == 0U);
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d2", Spend(200))));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Release("d2", program)));
+  BOOST_TEST(IsRejected(log.Append("d2", Spend(100)), RejectReason::kNotOwner));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d3", program)));
+  BOOST_TEST(log.Get(program).spent.value() == 300U);
+  BOOST_TEST(log.Get(program).authorised.value() == 200U);
+}
+
+// A late copy of a release must not end a newer claim of the same daemon.
+BOOST_AUTO_TEST_CASE(old_release_does_not_end_a_newer_claim) {
+  const Offset seen = log.head();
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d1", program)));
+  ShardsReleased release{{}, DaemonId("d1")};
+  release.shards.Add(ShardOf(program));
+  BOOST_TEST(IsRejected(log.AppendSeen("d1", seen, release), RejectReason::kNotOwner));
+  BOOST_TEST(!log.state().OwnerOf(ShardOf(program))->released);
+}
+
+BOOST_AUTO_TEST_CASE(spend_is_authorised_within_the_budget_only) {
+  BOOST_TEST(IsRejected(log.Append("d1", Spend(1001)), RejectReason::kBudgetExhausted));
+  BOOST_TEST(IsAccepted(log.Append("d1", Spend(1000))));
+  BOOST_TEST(IsAccepted(log.Append("d1", MakeTurn(log, program, 1, 950, 100))));
+  BOOST_TEST(log.Get(program).authorised.value() == 50U);
+}
+
+// The usage of a call that overran its authorisation is a fact; hiding it would lose tokens.
+BOOST_AUTO_TEST_CASE(overrun_is_recorded_and_counted) {
+  BOOST_TEST(IsAccepted(log.Append("d1", MakeTurn(log, program, 1, 1200, 100))));
+  BOOST_TEST(log.Get(program).spent.value() == 1200U);
+  BOOST_TEST(log.Get(program).authorised.value() == 0U);
+  BOOST_TEST(log.state().counters().budget_violations == 1U);
+}
+
+// A second accepted intent would let a parts order run twice.
+BOOST_AUTO_TEST_CASE(an_effect_runs_once_per_key) {
+  BOOST_TEST(IsAccepted(log.Append("d1", Intent("k"))));
+  BOOST_TEST(IsRejected(log.Append("d1", Intent("k")), RejectReason::kKeyExists));
+  BOOST_TEST(IsAccepted(log.Append("d1", Finish("k", NotRun{}))));
+  BOOST_TEST(IsRejected(log.Append("d1", Finish("k", Completed{})), RejectReason::kNoIntent));
+  BOOST_TEST(IsRejected(log.Append("d1", Intent("k", "other")), RejectReason::kKeyConflict));
+  BOOST_TEST(IsAccepted(log.Append("d1", Intent("k"))));
+  BOOST_TEST(IsAccepted(log.Append("d1", Finish("k", Unknown{}))));
+  BOOST_TEST(IsRejected(log.Append("d1", Intent("k")), RejectReason::kKeyExists));
+  BOOST_TEST(IsRejected(log.Append("d1", Finish("none", Completed{})), RejectReason::kNoIntent));
+}
+
+// One key names one call; a key used for another kind of call would return a wrong answer.
+BOOST_AUTO_TEST_CASE(keys_are_shared_by_all_kinds_of_calls) {
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", MakeTurn(log, program, 1))));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", Intent("effect"))));
+  ToolCallCommitted tool{
+      program, log.EpochOf(program), IdempotencyKey("tool"), ServiceId("stock"), Completed{}, "3"};
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", tool)));
+  BOOST_TEST(IsRejected(log.Append("d1", tool), RejectReason::kKeyExists));
+  tool.key = IdempotencyKey("turn-1");
+  BOOST_TEST(IsRejected(log.Append("d1", tool), RejectReason::kKeyConflict));
+  tool.key = IdempotencyKey("effect");
+  BOOST_TEST(IsRejected(log.Append("d1", tool), RejectReason::kKeyConflict));
+  BOOST_TEST(IsRejected(log.Append("d1", Intent("tool")), RejectReason::kKeyConflict));
+  TurnCommitted turn = MakeTurn(log, program, 2);
+  turn.key = IdempotencyKey("effect");
+  BOOST_TEST(IsRejected(log.Append("d1", turn), RejectReason::kKeyConflict));
+}
+
+// An idempotent call without a definite result must stay repeatable.
+BOOST_AUTO_TEST_CASE(unknown_idempotent_results_can_be_replaced) {
+  ToolCallCommitted tool{
+      program, log.EpochOf(program), IdempotencyKey("tool"), ServiceId("stock"), Unknown{}, ""};
+  BOOST_TEST(IsAccepted(log.Append("d1", tool)));
+  tool.outcome = Completed{};
+  BOOST_TEST(IsAccepted(log.Append("d1", tool)));
+  BOOST_TEST(IsRejected(log.Append("d1", tool), RejectReason::kKeyExists));
+}
+
+// A program that loops without end must stop at its limit.
+BOOST_AUTO_TEST_CASE(calls_of_every_kind_count_against_the_limit) {
+  for (std::uint32_t call = 1; call <= 8; ++call) {
+    BOOST_TEST(IsAccepted(log.Append("d1", MakeTurn(log, program, call, 1, 1))));
+  }
+  BOOST_TEST(IsAccepted(log.Append("d1", Intent("nine"))));
+  ToolCallCommitted tool{
+      program, log.EpochOf(program), IdempotencyKey("ten"), ServiceId("stock"), Completed{}, ""};
+  BOOST_TEST(IsAccepted(log.Append("d1", tool)));
+  BOOST_TEST(IsRejected(log.Append("d1", MakeTurn(log, program, 9, 1, 1)),
+                        RejectReason::kCallLimitReached));
+  BOOST_TEST(IsRejected(log.Append("d1", Intent("more")), RejectReason::kCallLimitReached));
+  BOOST_TEST(IsAccepted(log.Append("d1", Finish("nine", Completed{}))));
+}
+
+BOOST_AUTO_TEST_CASE(creation_is_idempotent_and_ids_are_checked) {
+  BOOST_TEST(IsRejected(log.Append("d1", Creation(log, "p")), RejectReason::kProgramExists));
+  BOOST_TEST(IsRejected(log.Append("d1", Creation(log, "p", 7)), RejectReason::kKeyConflict));
+  ProgramCreated wrong = Creation(log, "q");
+  wrong.program = program;
+  wrong.epoch = log.EpochOf(program);
+  BOOST_TEST(IsRejected(log.Append("d1", wrong), RejectReason::kInvalid));
+}
+
+// The budgets of sub-agents come out of that of the parent, so a tree cannot spend more than its
+// root.
+BOOST_AUTO_TEST_CASE(children_spend_from_the_parents_budget) {
+  const ProgramId child = IdOf("c");
+  const ProgramId grandchild = IdOf("g");
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d2", child)));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d2", grandchild)));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", Spend(300))));
+  BOOST_TEST(IsRejected(log.Append("d2", Creation(log, "c", 701, program)),
+                        RejectReason::kBudgetExhausted));
+  BOOST_TEST(IsAccepted(log.Append("d2", Creation(log, "c", 700, program))));
+  BOOST_TEST(IsAccepted(log.Append("d2", Creation(log, "g", 100, child))));
+  BOOST_TEST(log.Get(grandchild).root.value() == program.value());
+  BOOST_TEST(IsAccepted(log.Append("d2", MakeTurn(log, grandchild, 1, 60, 0))));
+  BOOST_TEST(IsAccepted(log.Append("d2", End(grandchild))));
+  BOOST_TEST(log.Get(child).reserved.value() == 0U);
+  BOOST_TEST(log.Get(child).spent.value() == 60U);
+  BOOST_TEST(IsAccepted(log.Append("d2", End(child))));
+  BOOST_TEST(log.Get(program).reserved.value() == 0U);
+  BOOST_TEST(log.Get(program).spent.value() == 60U);
+}
+
+BOOST_AUTO_TEST_CASE(a_parent_must_exist_live_and_belong_to_the_organisation) {
+  const ProgramId child = IdOf("c");
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d2", child)));
+  BOOST_TEST(IsRejected(log.Append("d2", Creation(log, "c", 1, IdOf("none"))),
+                        RejectReason::kUnknownParent));
+  ProgramCreated foreign = Creation(log, "c", 1, program);
+  foreign.organisation = OrganisationId("rival");
+  foreign.program = MakeProgramId(foreign.organisation, foreign.key);
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d2", foreign.program)));
+  foreign.epoch = log.EpochOf(foreign.program);
+  BOOST_TEST(IsRejected(log.Append("d2", foreign), RejectReason::kUnknownParent));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", End(program))));
+  BOOST_TEST(
+      IsRejected(log.Append("d2", Creation(log, "c", 1, program)), RejectReason::kParentEnded));
+}
+
+// A child that outlives its parent would run without anyone waiting for it, and hold engine memory.
+BOOST_AUTO_TEST_CASE(the_end_of_a_program_ends_its_children) {
+  const ProgramId child = IdOf("c");
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d2", child)));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d2", Creation(log, "c", 500, program))));
+  BOOST_TEST_REQUIRE(
+      IsAccepted(log.Append("d2", SpendAuthorised{child, log.EpochOf(child), TokenCount(40)})));
+  BOOST_TEST(log.state().live_program_count() == 2U);
+  BOOST_TEST(IsAccepted(log.Append("d1", End(program))));
+  BOOST_TEST(log.state().live_program_count() == 0U);
+  BOOST_TEST((log.Get(child).end_reason == EndReason::kParentEnded));
+  // The child's owner may be in the middle of the call that was authorised.
+  BOOST_TEST(log.Get(program).spent.value() == 40U);
+  BOOST_TEST(IsRejected(log.Append("d2", MakeTurn(log, child, 1)), RejectReason::kProgramEnded));
+}
+
+BOOST_AUTO_TEST_CASE(tombstones_vanish_after_their_time) {
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", MakeTurn(log, program, 1))));
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", End(program))));
+  BOOST_TEST(log.Get(program).turns.empty());
+  BOOST_TEST(log.Get(program).turn_count.value() == 1U);
+  BOOST_TEST(IsRejected(log.Append("d1", MakeTurn(log, program, 2)), RejectReason::kProgramEnded));
+  log.Wait(std::chrono::hours(24));
+  BOOST_TEST(
+      IsRejected(log.Append("d1", MakeTurn(log, program, 2)), RejectReason::kUnknownProgram));
+  BOOST_TEST(log.state().FindProgram(program) == nullptr);
+}
+
+// An acknowledgement that is lost after the append took effect leads to a second copy.
+BOOST_AUTO_TEST_CASE(repeated_entries_have_no_effect) {
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", MakeTurn(log, program, 1))));
+  const Offset turn = log.head();
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", Spend(100))));
+  BOOST_TEST(IsDuplicate(log.Repeat(turn)));
+  BOOST_TEST(IsDuplicate(log.Repeat(Offset(1))));
+  BOOST_TEST(log.Get(program).spent.value() == 10U);
+}
+
+// Two operators who change the same revision: the second must not silently revert the first.
+BOOST_AUTO_TEST_CASE(configuration_changes_need_the_current_base) {
+  BOOST_TEST(IsAccepted(log.Append("d1", ConfigChanged{Revision(), "one", "ann"})));
+  const Revision one = log.state().revision();
+  BOOST_TEST(one.value() == log.head().value());
+  BOOST_TEST(IsRejected(log.Append("d2", ConfigChanged{Revision(), "two", "bob"}),
+                        RejectReason::kBaseRevisionConflict));
+  BOOST_TEST(
+      IsRejected(log.Append("d2", ConfigCheckpoint{Revision(), "old"}), RejectReason::kOutdated));
+  BOOST_TEST(log.state().document() == "one");
+  BOOST_TEST(IsAccepted(log.Append("d2", ConfigChanged{one, "two", "bob"})));
+}
+
+// A checkpoint that was taken before a child was created must not undo the child's reservation.
+BOOST_AUTO_TEST_CASE(outdated_checkpoints_do_not_replace_newer_state) {
+  const ProgramId child = IdOf("c");
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d2", child)));
+  const Offset seen = log.head();
+  const ProgramCheckpoint checkpoint{program, log.EpochOf(program), log.Get(program)};
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d2", Creation(log, "c", 500, program))));
+  BOOST_TEST(IsRejected(log.AppendSeen("d1", seen, checkpoint), RejectReason::kOutdated));
+  BOOST_TEST(log.Get(program).reserved.value() == 500U);
+}
+
+BOOST_AUTO_TEST_CASE(records_that_claim_to_have_seen_the_future_are_invalid) {
+  BOOST_TEST(
+      IsRejected(log.AppendSeen("d1", log.head() + Offset(1), Spend(1)), RejectReason::kInvalid));
+}
+
+BOOST_AUTO_TEST_CASE(malformed_entries_are_counted_and_passed) {
+  State state;
+  state.ApplyMalformed(Offset(1), WallTime());
+  BOOST_TEST(state.counters().malformed_entries == 1U);
+  BOOST_TEST(state.applied_offset().value() == 1U);
+}
+
+// A snapshot that loses anything would make the folds of two daemons differ from then on.
+BOOST_AUTO_TEST_CASE(snapshots_continue_like_the_original) {
+  BOOST_TEST_REQUIRE(IsAccepted(log.Append("d1", Intent("k"))));
+  State copy = State::Decode(log.state().Encode());
+  BOOST_TEST(copy.Encode() == log.state().Encode());
+  BOOST_TEST(copy.live_program_count() == 1U);
+  BOOST_TEST(copy.ProgramsOf(ShardOf(program)).size() == 1U);
+  BOOST_CHECK_THROW(State::Decode("garbage"), wire::DecodeError);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::journal
--- /dev/null
+++ b/src/journal/token_bucket.cc
@@ -0,0 +1,38 @@
+#include <algorithm>
+#include <cmath>
+
+#include "src/journal/writer.h"
+
+namespace acaciaspring::journal {
+
+TokenBucket::TokenBucket(double tokens_per_second, double burst)
+    : rate_(tokens_per_second), burst_(std::max(1.0, burst)), tokens_(burst_) {}
+
+void TokenBucket::Refill(MonotonicTime now) {
+  if (refilled_ && now > *refilled_) {
+    const double seconds = std::chrono::duration<double>(now - *refilled_).count();
+    tokens_ = std::min(burst_, tokens_ + seconds * rate_);
+  }
+  refilled_ = refilled_ ? std::max(*refilled_, now) : now;
+}
+
+bool TokenBucket::TryTake(MonotonicTime now) {
+  Refill(now);
+  if (tokens_ < 1) {
+    return false;
+  }
+  tokens_ -= 1;
+  return true;
+}
+
+MonotonicTime TokenBucket::NextAt(MonotonicTime now) {
+  Refill(now);
+  if (tokens_ >= 1) {
+    return now;
+  }
+  // Rounded up, so that the token is there at that time.
+  const double microseconds = std::ceil((1 - tokens_) / rate_ * 1e6) + 1;
+  return now + Duration(static_cast<Duration::rep>(microseconds));
+}
+
+}  // namespace acaciaspring::journal
