--- a/include/acaciaspring/membership.h
+++ b/include/acaciaspring/membership.h
@@ -117,6 +117,9 @@
   /// @brief The entry of a member, or null.
   const Member* Find(const DaemonId& id) const;
   const Member& self() const;
+  /// @brief True once another process is known to run under this id with a higher incarnation,
+  /// which other daemons believe: this process has to stop.
+  bool superseded() const;
   /// @brief Changes whenever the id, incarnation, state or readiness of any member changes.
   std::uint64_t version() const;
   const MembersCounters& counters() const;
--- /dev/null
+++ b/src/membership/scale_test.cc
@@ -0,0 +1,163 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <iomanip>
+#include <sstream>
+
+#include "acaciaspring/membership.h"
+#include "src/membership/test_network.h"
+
+namespace acaciaspring::membership {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+using testing::Network;
+using testing::NetworkOptions;
+using testing::Node;
+
+namespace {
+
+// The design states at most 4 KB/s a daemon for control; sent and received bytes count, with the
+// IP, UDP and authentication headers.
+constexpr double kMaxBytesPerSecond = 4096;
+
+// Five zones in two regions.
+Network MakeCluster(std::size_t size, NetworkOptions options) {
+  Network network(std::move(options));
+  const std::vector<std::string> zones = {"a1", "a2", "a3", "b1", "b2"};
+  for (std::size_t index = 0; index < size; ++index) {
+    network.Start(zones[index % zones.size()]);
+  }
+  return network;
+}
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+struct Rate {
+  double mean = 0;
+  double highest = 0;
+};
+
+/// @brief Bytes a second of the daemons while `action` runs.
+template <class Action>
+Rate Measure(Network& network, Action action) {
+  std::vector<std::uint64_t> before;
+  const auto bytes = [&](std::size_t index) {
+    return network.NodeAt(index).bytes_sent + network.NodeAt(index).bytes_received;
+  };
+  for (std::size_t index = 0; index < network.size(); ++index) {
+    before.push_back(bytes(index));
+  }
+  const MonotonicTime start = network.now();
+  action();
+  const double elapsed = Seconds(network.now() - start);
+  Rate rate;
+  for (std::size_t index = 0; index < network.size(); ++index) {
+    const double own = static_cast<double>(bytes(index) - before[index]) / elapsed;
+    rate.mean += own / static_cast<double>(network.size());
+    rate.highest = std::max(rate.highest, own);
+  }
+  return rate;
+}
+
+/// @brief Prints a phase and checks the limit.
+void Report(std::size_t members, const std::string& phase, const Rate& rate, Duration took) {
+  std::ostringstream line;
+  line << std::fixed << std::setprecision(0) << std::setw(8) << members << "  " << std::left
+       << std::setw(30) << phase << std::right << std::setw(12) << rate.mean << std::setw(12)
+       << rate.highest << std::setprecision(1) << std::setw(10) << Seconds(took);
+  BOOST_TEST_MESSAGE(line.str());
+  BOOST_TEST(rate.mean <= kMaxBytesPerSecond, phase);
+  BOOST_TEST(rate.highest <= kMaxBytesPerSecond, phase);
+}
+
+/// @brief Runs until the condition holds, which it must, and reports the phase.
+void Phase(Network& network,
+           const std::string& name,
+           Duration limit,
+           const std::function<bool()>& condition) {
+  const MonotonicTime start = network.now();
+  bool reached = false;
+  const Rate rate = Measure(network, [&] { reached = network.RunUntil(limit, condition); });
+  Report(network.size(), name, rate, network.now() - start);
+  BOOST_TEST(reached, name);
+}
+
+void CheckSize(std::size_t size) {
+  Network network = MakeCluster(size, {});
+  Phase(network, "all start at once", minutes(5), [&] { return network.AllAlive(); });
+  network.Run(minutes(1));
+  Phase(network, "steady", minutes(2),
+        [&, end = network.now() + minutes(2)] { return network.now() >= end; });
+  network.SetLoss(0.01);
+  Phase(network, "1 % loss", minutes(2),
+        [&, end = network.now() + minutes(2)] { return network.now() >= end; });
+  BOOST_TEST(network.Sum(&MembersCounters::deaths) == 0U);
+  network.Kill(size - 1);
+  Phase(network, "one death", minutes(2),
+        [&] { return network.AllSee(size - 1, MemberState::kDead); });
+  network.Restart(size - 1, 2);
+  Phase(network, "one restart", minutes(5), [&] { return network.AllAlive(); });
+  for (std::size_t index = 0; index < size; ++index) {
+    network.At(index).SetRevision(Revision(9));
+  }
+  Phase(network, "new revision on all", minutes(10), [&] {
+    for (std::size_t observer = 0; observer < size; ++observer) {
+      const std::vector<Member>& members = network.At(observer).members();
+      if (std::any_of(members.begin(), members.end(),
+                      [](const Member& member) { return member.revision != Revision(9); })) {
+        return false;
+      }
+    }
+    return true;
+  });
+  BOOST_TEST(network.largest_payload() + wire::kMacBytes <= wire::kMaxDatagramBytes);
+}
+
+}  // namespace
+
+// Columns: members, phase, mean and highest bytes/s of a daemon (sent + received), seconds.
+BOOST_AUTO_TEST_CASE(control_traffic_stays_within_the_limit) {
+  for (const std::size_t size : {7U, 60U, 420U}) {
+    CheckSize(size);
+  }
+}
+
+// After a partition of the regions both halves hold each other as dead; the list must recover
+// without another death and within the traffic limit.
+BOOST_AUTO_TEST_CASE(region_partition_heals_at_full_size) {
+  Network network = MakeCluster(420, {});
+  BOOST_REQUIRE(network.RunUntil(minutes(5), [&] { return network.AllAlive(); }));
+  network.Cut(
+      [](const Node& from, const Node& to) { return from.zone.value()[0] != to.zone.value()[0]; });
+  Phase(network, "region partition", minutes(5), [&] {
+    return network.View(0, 3) == MemberState::kDead && network.View(3, 0) == MemberState::kDead;
+  });
+  network.Run(minutes(5));
+  const std::uint64_t deaths = network.Sum(&MembersCounters::deaths);
+  network.Cut(nullptr);
+  Phase(network, "healing", minutes(10), [&] { return network.AllAlive(); });
+  BOOST_TEST(network.Sum(&MembersCounters::deaths) == deaths);
+}
+
+// The failure of a zone is confirmed by the others although each may send few extra probes.
+BOOST_AUTO_TEST_CASE(zone_failure_is_found_at_full_size) {
+  Network network = MakeCluster(420, {});
+  BOOST_REQUIRE(network.RunUntil(minutes(5), [&] { return network.AllAlive(); }));
+  for (std::size_t index = 0; index < network.size(); index += 5) {
+    network.Kill(index);
+  }
+  Phase(network, "zone failure", minutes(5), [&] {
+    for (std::size_t index = 0; index < network.size(); index += 5) {
+      if (!network.AllSee(index, MemberState::kDead)) {
+        return false;
+      }
+    }
+    return true;
+  });
+  BOOST_TEST(network.Sum(&MembersCounters::deaths) == 84U * 336U);
+}
+
+}  // namespace acaciaspring::membership
