Test the fold with random runs of lagging daemons

Cause: races, late copies, restarts at a cut log and checkpoints combine in more ways than tables show. A claim checkpoint may name claims that the cut fold could not decide (found by the property).

--- a/src/journal/claims.cc
+++ b/src/journal/claims.cc
@@ -127,7 +127,7 @@
     if (place.observed < entry.touched) {
       continue;
     }
-    if (!entry.known && data.started_late() && AsOffset(claim.epoch) < data.first) {
+    if (!entry.known && data.started_late() && AsOffset(claim.epoch) <= place.observed) {
       entry.known = true;
       entry.owner = ShardOwner{record.owner, record.incarnation, claim.epoch, false};
     }
--- /dev/null
+++ b/src/journal/cluster_test.cc
@@ -0,0 +1,341 @@
+#include "src/journal/test_cluster.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace acaciaspring::journal {
+
+namespace {
+
+const OrganisationId& Org() {
+  static const OrganisationId organisation("org");
+  return organisation;
+}
+
+void Require(bool condition, const std::string& what) {
+  if (!condition) {
+    throw std::logic_error(what);
+  }
+}
+
+IdempotencyKey CreationKey(std::uint32_t index) {
+  return IdempotencyKey("p" + std::to_string(index));
+}
+
+bool WasAccepted(const AppliedRecord& applied) {
+  return std::holds_alternative<Accepted>(applied.verdict);
+}
+
+ProgramId SubjectOf(const Record& record) {
+  return std::visit(
+      [](const auto& known) {
+        if constexpr (requires { known.program; }) {
+          return known.program;
+        } else {
+          return ProgramId();
+        }
+      },
+      record);
+}
+
+}  // namespace
+
+TestCluster::TestCluster()
+    : options_{std::chrono::milliseconds(400)}, reference_(options_), daemons_(kDaemons) {
+  for (std::uint32_t index = 0; index < kDaemons; ++index) {
+    daemons_[index].id = DaemonId("d" + std::to_string(index));
+    daemons_[index].state = State(options_);
+  }
+}
+
+ProgramId TestCluster::ProgramOf(std::uint32_t index) {
+  return MakeProgramId(Org(), CreationKey(index));
+}
+
+void TestCluster::Do(const Step& step) {
+  Daemon& daemon = daemons_[step.daemon];
+  switch (step.kind) {
+    case 0:
+      return CatchUp(daemon, step.argument % 8);
+    case 1:
+      return CatchUp(daemon, entries_.size());
+    case 2:
+    case 3:
+    case 4:
+      return Flush(daemon, 1 + step.argument % 4);
+    case 5:
+      if (!daemon.sent.empty()) {
+        const Offset offset = daemon.sent[step.argument % daemon.sent.size()];
+        AppendEntry(Batch(entries_[offset.value() - 1].batch));
+      }
+      return;
+    case 6:
+    case 7:
+      return DoShard(daemon, step);
+    case 8:
+    case 9:
+      return DoCreate(daemon, step);
+    case 10:
+      return Checkpoint(daemon);
+    case 11:
+      time_ms_ += step.argument % 300;
+      return;
+    case 12:
+      return step.argument % 3 == 0 ? Restart(daemon, step.argument) : CatchUp(daemon, 1);
+    case 13:
+      return Enqueue(daemon, ConfigChanged{daemon.state.revision(),
+                                           "c" + std::to_string(step.argument), "ann"});
+    default:
+      return DoProgram(daemon, step);
+  }
+}
+
+void TestCluster::Enqueue(Daemon& daemon, Record record) {
+  const RecordId id{daemon.id, daemon.incarnation, ++daemon.sequence};
+  if (const ProgramId subject = SubjectOf(record); !subject.empty()) {
+    daemon.pending[id.sequence] = subject;
+  }
+  daemon.queue.push_back({id, daemon.state.applied_offset(), std::move(record)});
+}
+
+void TestCluster::Flush(Daemon& daemon, std::uint32_t count) {
+  const std::size_t size = std::min<std::size_t>(count, daemon.queue.size());
+  if (size == 0) {
+    return;
+  }
+  const auto end = daemon.queue.begin() + static_cast<std::ptrdiff_t>(size);
+  Batch batch{{daemon.queue.begin(), end}};
+  daemon.queue.erase(daemon.queue.begin(), end);
+  AppendEntry(std::move(batch));
+  daemon.sent.emplace_back(entries_.size());
+}
+
+void TestCluster::AppendEntry(Batch batch) {
+  time_ms_ += 1;
+  const WallTime time{std::chrono::milliseconds(time_ms_)};
+  std::vector<AppliedRecord> applied =
+      reference_.Apply(Offset(entries_.size() + 1), time, batch);
+  entries_.push_back({time, std::move(batch), std::move(applied)});
+}
+
+void TestCluster::CatchUp(Daemon& daemon, std::uint64_t count) {
+  for (; count > 0 && daemon.state.applied_offset().value() < entries_.size(); --count) {
+    const std::uint64_t next = daemon.state.applied_offset().value();
+    const Entry& entry = entries_[next];
+    for (const AppliedRecord& applied :
+         daemon.state.Apply(Offset(next + 1), entry.time, entry.batch)) {
+      if (applied.id.daemon == daemon.id && applied.id.incarnation == daemon.incarnation) {
+        daemon.pending.erase(applied.id.sequence);
+      }
+    }
+  }
+}
+
+void TestCluster::Restart(Daemon& daemon, std::uint32_t argument) {
+  ++daemon.incarnation;
+  daemon.sequence = 0;
+  daemon.queue.clear();
+  daemon.pending.clear();
+  const Offset first(1 + argument % CutLimit().value());
+  daemon.state = FoldFrom(first, nullptr);
+}
+
+void TestCluster::Checkpoint(Daemon& daemon) {
+  CheckpointPlanOptions options;
+  options.retention = Duration(0);
+  const WallTime now{std::chrono::milliseconds(time_ms_)};
+  for (Record& record : PlanCheckpoints(
+           daemon.state, daemon.id, daemon.incarnation, now, options,
+           [this, &daemon](const ProgramId& program) { return IsPending(daemon, program); })) {
+    Enqueue(daemon, std::move(record));
+  }
+}
+
+bool TestCluster::IsPending(const Daemon& daemon, const ProgramId& program) const {
+  return std::any_of(daemon.pending.begin(), daemon.pending.end(),
+                     [&program](const auto& record) { return record.second == program; });
+}
+
+void TestCluster::DoShard(Daemon& daemon, const Step& step) {
+  ShardSet shards;
+  shards.Add(ShardOf(ProgramOf(step.program)));
+  shards.Add(ShardOf(ProgramOf(step.argument % kPrograms)));
+  if (step.argument % 3 == 0) {
+    shards.Add(ShardId(0));
+  }
+  if (step.kind == 6) {
+    Enqueue(daemon, ShardsClaimed{shards, daemon.id, daemon.incarnation,
+                                  daemon.state.applied_offset()});
+  } else if (step.argument % 2 == 0) {
+    Enqueue(daemon, ShardsReleased{shards, daemon.id});
+  }
+}
+
+void TestCluster::DoCreate(Daemon& daemon, const Step& step) {
+  const ProgramId id = ProgramOf(step.program);
+  const ShardOwner* owner = daemon.state.OwnerOf(ShardOf(id));
+  if (owner == nullptr || owner->daemon != daemon.id || daemon.state.FindProgram(id) != nullptr) {
+    return;
+  }
+  ProgramCreated creation{id,
+                          owner->epoch,
+                          Org(),
+                          CreationKey(step.program),
+                          PriorityClassId("urgent"),
+                          TokenCount(step.argument % 2 == 0 ? 1000 : 100),
+                          12,
+                          {},
+                          TokenCount(20)};
+  if (step.argument % 4 != 0) {
+    creation.parent = ProgramOf((step.program + 1 + step.argument / 4 % 3) % kPrograms);
+  }
+  Enqueue(daemon, creation);
+}
+
+void TestCluster::DoProgram(Daemon& daemon, const Step& step) {
+  const ProgramId id = ProgramOf(step.program);
+  const Program* program = daemon.state.FindProgram(id);
+  const ShardOwner* owner = daemon.state.OwnerOf(ShardOf(id));
+  if (program == nullptr || owner == nullptr || owner->daemon != daemon.id) {
+    return;
+  }
+  const IdempotencyKey key("k" + std::to_string(step.argument % 3));
+  switch (step.kind) {
+    case 14:
+    case 15:
+      return DoTurn(daemon, step, *program, owner->epoch);
+    case 16:
+      return Enqueue(daemon, EffectIntended{id, owner->epoch, key, ServiceId("orders"), "digest"});
+    case 17:
+      return Enqueue(daemon, EffectFinished{id, owner->epoch, key,
+                                            step.argument % 2 == 0 ? Outcome(NotRun{})
+                                                                   : Outcome(Completed{}),
+                                            "body"});
+    case 18:
+      return Enqueue(daemon, ToolCallCommitted{id, owner->epoch, IdempotencyKey("t" + key.value()),
+                                               ServiceId("stock"), Completed{}, "3"});
+    default:
+      if (step.argument % 4 == 0) {
+        Enqueue(daemon, ProgramEnded{id, owner->epoch, EndReason::kRequested});
+      }
+  }
+}
+
+void TestCluster::DoTurn(Daemon& daemon, const Step& step, const Program& program, Epoch epoch) {
+  // A home decides on spending only when no earlier record of the program is under way.
+  if (IsPending(daemon, program.id)) {
+    return;
+  }
+  if (step.argument % 3 == 0) {
+    return Enqueue(daemon, SpendAuthorised{program.id, epoch, TokenCount(step.argument % 200)});
+  }
+  TurnCommitted turn;
+  turn.program = program.id;
+  turn.epoch = epoch;
+  turn.turn = program.turn_count + TurnNumber(step.argument % 8 == 0 ? 2 : 1);
+  turn.key = IdempotencyKey("turn" + std::to_string(step.argument % 40));
+  turn.usage.prompt = TokenCount(std::min<std::uint64_t>(program.authorised.value(), 15));
+  turn.next_authorised = TokenCount(step.argument % 60);
+  Enqueue(daemon, turn);
+}
+
+Offset TestCluster::CutLimit() const {
+  Offset limit = std::min(reference_.NeededByConfig(), reference_.applied_offset() + Offset(1));
+  for (const Program* program : reference_.Programs()) {
+    limit = std::min(limit, reference_.NeededByProgram(program->id));
+  }
+  for (std::uint32_t index = 0; index < kPrograms; ++index) {
+    const ShardId shard = ShardOf(ProgramOf(index));
+    if (reference_.OwnerOf(shard) != nullptr) {
+      limit = std::min(limit, reference_.NeededByShard(shard));
+    }
+  }
+  return limit;
+}
+
+State TestCluster::FoldFrom(Offset first, std::vector<std::vector<AppliedRecord>>* verdicts) const {
+  State state(options_, first);
+  for (std::uint64_t index = first.value() - 1; index < entries_.size(); ++index) {
+    std::vector<AppliedRecord> applied =
+        state.Apply(Offset(index + 1), entries_[index].time, entries_[index].batch);
+    if (verdicts != nullptr) {
+      verdicts->push_back(std::move(applied));
+    }
+  }
+  return state;
+}
+
+void TestCluster::CheckInvariants() const {
+  for (const Program* program : reference_.Programs()) {
+    CheckProgram(*program);
+  }
+  CheckEffects();
+  CheckRevisions();
+  Require(reference_.counters().budget_violations == 0, "a turn overran its authorisation");
+}
+
+void TestCluster::CheckProgram(const Program& program) const {
+  const TokenCount taken = program.spent + program.authorised + program.reserved;
+  Require(taken <= program.budget, "budget exceeded");
+  Require(program.call_count <= program.max_calls, "call limit exceeded");
+  if (program.ended) {
+    return;
+  }
+  Require(program.turns.size() == program.turn_count.value(), "turns are not contiguous");
+  std::string chain;
+  for (std::size_t index = 0; index < program.turns.size(); ++index) {
+    chain = NextChain(chain, TurnNumber(static_cast<std::uint32_t>(index + 1)),
+                      program.turns[index]);
+  }
+  Require(chain == program.chain, "the hash chain is broken");
+  TokenCount reserved;
+  for (const ProgramId& id : program.children) {
+    const Program* child = reference_.FindProgram(id);
+    Require(child != nullptr && !child->ended, "a listed child is not live");
+    reserved += child->budget;
+  }
+  Require(reserved == program.reserved, "reserved tokens do not match the children");
+  if (!program.parent.empty()) {
+    const Program* parent = reference_.FindProgram(program.parent);
+    Require(parent != nullptr && !parent->ended, "a live child has no live parent");
+  }
+}
+
+void TestCluster::CheckEffects() const {
+  std::set<std::pair<ProgramId, IdempotencyKey>> taken;
+  for (const Entry& entry : entries_) {
+    for (std::size_t index = 0; index < entry.applied.size(); ++index) {
+      if (!WasAccepted(entry.applied[index])) {
+        continue;
+      }
+      const Record& record = entry.batch.envelopes[index].record;
+      if (const auto* intent = std::get_if<EffectIntended>(&record)) {
+        Require(taken.emplace(intent->program, intent->key).second, "two intents for one key");
+      } else if (const auto* end = std::get_if<EffectFinished>(&record)) {
+        if (std::holds_alternative<NotRun>(end->outcome)) {
+          taken.erase({end->program, end->key});
+        }
+      } else if (const auto* creation = std::get_if<ProgramCreated>(&record)) {
+        // The id is free again after the tombstone has vanished.
+        std::erase_if(taken, [creation](const auto& key) { return key.first == creation->program; });
+      }
+    }
+  }
+}
+
+void TestCluster::CheckRevisions() const {
+  Revision revision;
+  for (std::size_t offset = 1; offset <= entries_.size(); ++offset) {
+    const Entry& entry = entries_[offset - 1];
+    for (std::size_t index = 0; index < entry.applied.size(); ++index) {
+      const auto* change = std::get_if<ConfigChanged>(&entry.batch.envelopes[index].record);
+      if (change != nullptr && WasAccepted(entry.applied[index])) {
+        Require(change->base == revision, "a change with a wrong base was accepted");
+        revision = Revision(offset);
+      }
+    }
+  }
+  Require(revision == reference_.revision(), "the revision is not that of the last change");
+}
+
+}  // namespace acaciaspring::journal
--- a/src/journal/state_data.cc
+++ b/src/journal/state_data.cc
@@ -6,6 +6,8 @@
 
 constexpr std::int64_t kTimeSampleMs = 10'000;
 constexpr std::size_t kMaxTimeSamples = 8192;
+/// A writer that was silent for longer has ended; no copy of its appends can still be under way.
+constexpr std::int64_t kWriterMemoryMs = std::int64_t{24} * 3600 * 1000;
 
 }  // namespace
 
@@ -121,8 +123,8 @@
     return;
   }
   times[offset] = now_ms;
-  std::erase_if(writers, [this, now_ms](const auto& writer) {
-    return writer.second.last_ms + tombstone_ms < now_ms;
+  std::erase_if(writers, [now_ms](const auto& writer) {
+    return writer.second.last_ms + kWriterMemoryMs < now_ms;
   });
   if (times.size() <= kMaxTimeSamples) {
     return;
--- /dev/null
+++ b/src/journal/test_cluster.h
@@ -0,0 +1,92 @@
+#ifndef ACACIASPRING_SRC_JOURNAL_TEST_CLUSTER_H_
+#define ACACIASPRING_SRC_JOURNAL_TEST_CLUSTER_H_
+
+#include <map>
+#include <ostream>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "acaciaspring/journal.h"
+
+namespace acaciaspring::journal {
+
+/// @brief For property tests: one action of a random run.
+struct Step {
+  std::uint32_t kind = 0;
+  std::uint32_t daemon = 0;
+  std::uint32_t program = 0;
+  std::uint32_t argument = 0;
+};
+inline std::ostream& operator<<(std::ostream& out, const Step& step) {
+  return out << "{" << step.kind << "," << step.daemon << "," << step.program << ","
+             << step.argument << "}";
+}
+
+/// @brief For property tests: daemons that decide on folds which lag behind the log, lose
+/// acknowledgements, repeat entries late, are replaced by ones that start at a cut log, and write
+/// checkpoints.
+class TestCluster {
+ public:
+  static constexpr std::uint32_t kStepKinds = 20;
+  static constexpr std::uint32_t kDaemons = 3;
+  static constexpr std::uint32_t kPrograms = 6;
+
+  struct Entry {
+    WallTime time;
+    Batch batch;
+    std::vector<AppliedRecord> applied;
+  };
+
+  TestCluster();
+  void Do(const Step& step);
+  /// @brief Throws std::logic_error if an invariant of the fold of the whole log is broken.
+  void CheckInvariants() const;
+  /// @brief A fold that starts at `first`; `verdicts` (may be null) gets one list per entry.
+  State FoldFrom(Offset first, std::vector<std::vector<AppliedRecord>>* verdicts) const;
+
+  const State& reference() const { return reference_; }
+  const std::vector<Entry>& entries() const { return entries_; }
+  /// @brief Oldest offset at which the log may be cut without losing anything.
+  Offset CutLimit() const;
+  static ProgramId ProgramOf(std::uint32_t index);
+
+ private:
+  struct Daemon {
+    Daemon() = default;
+    DaemonId id;
+    Incarnation incarnation{1};
+    State state;
+    std::uint64_t sequence = 0;
+    std::vector<Envelope> queue;
+    /// Own programs' records that its fold has not reached yet.
+    std::map<std::uint64_t, ProgramId> pending;
+    /// Offsets of its entries, of earlier incarnations too.
+    std::vector<Offset> sent;
+  };
+
+  void Enqueue(Daemon& daemon, Record record);
+  void Flush(Daemon& daemon, std::uint32_t count);
+  void AppendEntry(Batch batch);
+  void CatchUp(Daemon& daemon, std::uint64_t count);
+  void Restart(Daemon& daemon, std::uint32_t argument);
+  void Checkpoint(Daemon& daemon);
+  void DoShard(Daemon& daemon, const Step& step);
+  void DoCreate(Daemon& daemon, const Step& step);
+  void DoProgram(Daemon& daemon, const Step& step);
+  void DoTurn(Daemon& daemon, const Step& step, const Program& program, Epoch epoch);
+  bool IsPending(const Daemon& daemon, const ProgramId& program) const;
+  void CheckProgram(const Program& program) const;
+  void CheckEffects() const;
+  void CheckRevisions() const;
+
+  StateOptions options_;
+  State reference_;
+  std::vector<Entry> entries_;
+  std::vector<Daemon> daemons_;
+  std::int64_t time_ms_ = 1'700'000'000'000;
+};
+
+}  // namespace acaciaspring::journal
+
+#endif  // ACACIASPRING_SRC_JOURNAL_TEST_CLUSTER_H_
