Add the fakes of the platform services

The system tests need the log, the engines, the tool services, the VM list and the weight store, and no outside system may be used. Each fake is one program on the shared Service class (routes, counters, fault switches). The parts with logic (answer function, log stream, prefix cache, batching, cache events, fencing) do no I/O and run in virtual time under fakes_test.

--- /dev/null
+++ b/fakes/fake_engine.cc
@@ -0,0 +1,224 @@
+#include "fakes/fake_engine.h"
+
+#include <glog/logging.h>
+
+#include <cstdlib>
+#include <memory>
+#include <optional>
+#include <utility>
+
+namespace acaciaspring::fakes {
+
+namespace {
+
+Json::Value ChainToJson(const BlockChain& chain) {
+  Json::Value list(Json::arrayValue);
+  for (const CacheBlock& block : chain) {
+    Json::Value entry;
+    entry["prefix"] = block.prefix;
+    entry["tokens"] = static_cast<Json::UInt64>(block.tokens);
+    list.append(entry);
+  }
+  return list;
+}
+
+BlockChain ParseChain(const Json::Value& list) {
+  BlockChain chain;
+  for (const Json::Value& entry : list) {
+    chain.push_back({entry["prefix"].asString(), entry["tokens"].asUInt64()});
+  }
+  return chain;
+}
+
+// Name of the program in the body of a KV call; empty after an error was answered.
+std::string ParseProgram(const Call& call) {
+  const std::optional<Json::Value> body = ParseJson(call.request.body);
+  std::string program = body && body->isObject() ? body->get("program", "").asString() : "";
+  if (program.empty()) {
+    AnswerError(call.responder, 400, "invalid_body", "an object with a program is required");
+  }
+  return program;
+}
+
+}  // namespace
+
+FakeEngine::FakeEngine(net::Loop& loop, const net::Address& listen, const EngineOptions& options)
+    : options_(options),
+      cache_(options.kv_capacity_tokens,
+             [this](PrefixCache::Change change, const CacheBlock& block) {
+               const bool stored = change == PrefixCache::Change::kStored;
+               events_.Add({.sequence = 0,
+                            .time = service_.loop().Now(),
+                            .kind = stored ? "stored" : "evicted",
+                            .prefix = block.prefix,
+                            .tokens = block.tokens,
+                            .program = acting_program_},
+                           service_.faults().Take("drop_events"));
+             }),
+      holds_(cache_),
+      batch_(
+          options.batch,
+          cache_,
+          {.on_tokens = [this](RequestId id, std::uint64_t count) { SendTokens(id, count); },
+           .on_finished = [this](RequestId id, const Usage& usage) { FinishStream(id, usage); }}),
+      orders_({.fence = 0, .model = options.models, .adapter = "", .version = "", .role = ""}),
+      service_(loop,
+               listen,
+               {"crash", "cut_after_tokens", "drop_events", "events_lag_ms", "ignore_fencing",
+                "leaving", "load_lag_ms"}) {
+  AddRoutes();
+  service_.OnFaultsChanged([this] { FollowFaults(); });
+  service_.OnStats([this](Json::Value& stats) { AddStats(stats); });
+}
+
+void FakeEngine::AddRoutes() {
+  service_.Route("POST", "/v1/chat/completions",
+                 [this](const Call& call) { StartCompletion(call); });
+  service_.Route("GET", "/load", [this](const Call& call) { AnswerLoad(call); });
+  service_.Route("GET", "/kv/holds",
+                 [this](const Call& call) { AnswerJson(call.responder, 200, holds_.ToJson()); });
+  service_.Route("POST", "/kv/release", [this](const Call& call) { ReleaseHold(call); });
+  service_.Route("POST", "/kv/export", [this](const Call& call) { ExportHold(call); });
+  service_.Route("POST", "/kv/import", [this](const Call& call) { ImportHold(call); });
+  service_.Route("GET", "/cache/events", [this](const Call& call) {
+    const std::int64_t lag = options_.events_lag_ms + service_.faults().Value("events_lag_ms");
+    AnswerJson(call.responder, 200,
+               events_.Read(QueryNumber(call.request, "from", 1), service_.loop().Now(),
+                            std::chrono::milliseconds(lag)));
+  });
+  service_.Route("POST", "/orders", [this](const Call& call) { ApplyOrder(call); });
+  service_.Route("GET", "/orders", [this](const Call& call) {
+    AnswerJson(call.responder, 200, ToJson(orders_.current()));
+  });
+}
+
+void FakeEngine::AnswerLoad(const Call& call) {
+  const MonotonicTime now = service_.loop().Now();
+  const Duration lag =
+      std::chrono::milliseconds(options_.load_lag_ms + service_.faults().Value("load_lag_ms"));
+  if (load_sample_.isNull() || now - load_sampled_at_ >= lag) {
+    load_sampled_at_ = now;
+    load_sample_["running"] = static_cast<Json::UInt64>(batch_.running());
+    load_sample_["waiting"] = static_cast<Json::UInt64>(batch_.waiting());
+    load_sample_["kv_used"] = static_cast<Json::UInt64>(cache_.used());
+    load_sample_["kv_capacity"] = static_cast<Json::UInt64>(cache_.capacity());
+    load_sample_["leaving"] = leaving_;
+    load_sample_["sampled_at_ms"] =
+        static_cast<Json::Int64>(net::Loop::WallNow().time_since_epoch().count());
+  }
+  AnswerJson(call.responder, 200, load_sample_);
+}
+
+void FakeEngine::ReleaseHold(const Call& call) {
+  const std::string program = ParseProgram(call);
+  if (program.empty()) {
+    return;
+  }
+  Json::Value body;
+  body["released"] = static_cast<Json::UInt64>(holds_.Release(program));
+  AnswerJson(call.responder, 200, body);
+}
+
+void FakeEngine::ExportHold(const Call& call) {
+  const std::string program = ParseProgram(call);
+  if (program.empty()) {
+    return;
+  }
+  const std::optional<BlockChain> chain = holds_.Export(program);
+  if (!chain) {
+    AnswerError(call.responder, 404, "no_hold", "the program holds no KV memory");
+    return;
+  }
+  Json::Value body;
+  body["program"] = program;
+  body["tokens"] = static_cast<Json::UInt64>(CountTokens(*chain));
+  body["blocks"] = ChainToJson(*chain);
+  AnswerJson(call.responder, 200, body);
+}
+
+void FakeEngine::ImportHold(const Call& call) {
+  const std::string program = ParseProgram(call);
+  if (program.empty()) {
+    return;
+  }
+  const std::optional<Json::Value> body = ParseJson(call.request.body);
+  const std::optional<BlockChain> chain = body->isMember("blocks")
+                                              ? std::optional(ParseChain((*body)["blocks"]))
+                                              : holds_.Exported(program);
+  if (!chain) {
+    AnswerError(call.responder, 404, "no_export", "no exported copy of the program");
+    return;
+  }
+  acting_program_ = program;
+  if (!holds_.Import(program, *chain)) {
+    AnswerError(call.responder, 409, "kv_full", "the KV memory is full");
+    return;
+  }
+  Json::Value answer;
+  answer["tokens"] = static_cast<Json::UInt64>(CountTokens(*chain));
+  AnswerJson(call.responder, 200, answer);
+}
+
+void FakeEngine::ApplyOrder(const Call& call) {
+  const std::optional<Json::Value> body = ParseJson(call.request.body);
+  if (!body || !body->isObject()) {
+    AnswerError(call.responder, 400, "invalid_body", "a JSON object is required");
+    return;
+  }
+  const bool check = options_.check_fencing && !service_.faults().On("ignore_fencing");
+  if (!orders_.Apply(ParseOrder(*body), check)) {
+    service_.Count("orders_refused");
+    AnswerError(call.responder, 409, "old_fence", "a newer order is in force");
+    return;
+  }
+  service_.Count("orders");
+  AnswerJson(call.responder, 200, ToJson(orders_.current()));
+}
+
+void FakeEngine::FollowFaults() {
+  if (service_.faults().On("crash")) {
+    LOG(WARNING) << "exiting at once on a fault switch";
+    google::FlushLogFiles(google::GLOG_INFO);
+    std::_Exit(1);
+  }
+  const bool leaving = service_.faults().On("leaving");
+  if (leaving && !leaving_) {
+    leaving_since_ = service_.loop().Now();
+  }
+  leaving_ = leaving;
+}
+
+void FakeEngine::AddStats(Json::Value& stats) const {
+  stats["running"] = static_cast<Json::UInt64>(batch_.running());
+  stats["waiting"] = static_cast<Json::UInt64>(batch_.waiting());
+  stats["prefill_tokens_computed"] = static_cast<Json::UInt64>(batch_.prefill_tokens_computed());
+  stats["cached_tokens"] = static_cast<Json::UInt64>(batch_.cached_tokens());
+  stats["kv_used"] = static_cast<Json::UInt64>(cache_.used());
+}
+
+}  // namespace acaciaspring::fakes
+
+int main(int argc, char** argv) {
+  namespace fakes = acaciaspring::fakes;
+  namespace po = boost::program_options;
+  fakes::EngineOptions options;
+  po::options_description description("fake_engine");
+  auto add = description.add_options();
+  add("concurrency", po::value(&options.batch.concurrency), "requests that run at the same time");
+  add("prefill-tokens-per-second", po::value(&options.batch.prefill_tokens_per_second),
+      "prompt tokens computed per second, shared by all requests");
+  add("decode-tokens-per-second", po::value(&options.batch.decode_tokens_per_second),
+      "tokens generated per second by each request");
+  add("kv-capacity-tokens", po::value(&options.kv_capacity_tokens), "KV memory");
+  add("models", po::value(&options.models), "models served, comma-separated");
+  add("check-fencing", po::bool_switch(&options.check_fencing), "refuse orders with an old fence");
+  add("can-resume", po::bool_switch(&options.can_resume), "accept resume_from");
+  add("load-lag-ms", po::value(&options.load_lag_ms), "largest age of the load report");
+  add("events-lag-ms", po::value(&options.events_lag_ms), "delay of the cache events");
+  add("step-ms", po::value(&options.step_ms), "length of a batch step");
+  return fakes::RunFake(
+      argc, argv, description,
+      [&options](acaciaspring::net::Loop& loop, const acaciaspring::net::Address& listen) {
+        return std::make_shared<fakes::FakeEngine>(loop, listen, options);
+      });
+}
--- /dev/null
+++ b/fakes/service.cc
@@ -0,0 +1,252 @@
+#include "fakes/service.h"
+
+#include <json/reader.h>
+#include <json/writer.h>
+
+#include <algorithm>
+#include <charconv>
+#include <memory>
+#include <sstream>
+#include <utility>
+
+namespace acaciaspring::fakes {
+
+namespace {
+
+// Bounds the memory of a fake whose callers keep sending while it answers nothing.
+constexpr std::size_t kMostHeldCalls = 20000;
+
+std::vector<std::string> SplitPath(const std::string& path) {
+  std::vector<std::string> segments;
+  std::istringstream input(path);
+  std::string segment;
+  while (std::getline(input, segment, '/')) {
+    if (!segment.empty()) {
+      segments.push_back(segment);
+    }
+  }
+  return segments;
+}
+
+bool Match(const std::vector<std::string>& pattern,
+           const std::vector<std::string>& path,
+           std::vector<std::string>& parameters) {
+  if (pattern.size() != path.size()) {
+    return false;
+  }
+  parameters.clear();
+  for (std::size_t index = 0; index < pattern.size(); ++index) {
+    if (pattern[index].starts_with('{')) {
+      parameters.push_back(path[index]);
+    } else if (pattern[index] != path[index]) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<std::string> WithCommonFaults(std::vector<std::string> names) {
+  for (const char* name : {"delay_ms", "freeze", "outage", "refuse"}) {
+    names.emplace_back(name);
+  }
+  return names;
+}
+
+}  // namespace
+
+std::string WriteJson(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+std::optional<Json::Value> ParseJson(std::string_view text) {
+  const Json::CharReaderBuilder builder;
+  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  try {
+    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
+      return std::nullopt;
+    }
+  } catch (const Json::Exception&) {
+    // The reader throws when the nesting is too deep.
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::uint64_t QueryNumber(const net::HttpRequest& request,
+                          std::string_view name,
+                          std::uint64_t fallback) {
+  const std::string_view text = net::FindQueryParameter(request, name);
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  return error == std::errc() && end == text.data() + text.size() ? value : fallback;
+}
+
+void AnswerJson(const net::HttpResponderPtr& responder, int status, const Json::Value& value) {
+  responder->Respond(status, {{"content-type", "application/json"}}, WriteJson(value));
+}
+
+void AnswerError(const net::HttpResponderPtr& responder,
+                 int status,
+                 const std::string& code,
+                 const std::string& message) {
+  Json::Value body;
+  body["error"]["code"] = code;
+  body["error"]["message"] = message;
+  AnswerJson(responder, status, body);
+}
+
+bool RateLimit::Allow(MonotonicTime now) {
+  if (per_second_ <= 0) {
+    return true;
+  }
+  const double elapsed = std::chrono::duration<double>(now - updated_).count();
+  updated_ = now;
+  tokens_ = std::min(std::max(1.0, per_second_ / 10), tokens_ + elapsed * per_second_);
+  if (tokens_ < 1) {
+    return false;
+  }
+  tokens_ -= 1;
+  return true;
+}
+
+Service::Service(net::Loop& loop, const net::Address& listen, std::vector<std::string> fault_names)
+    : loop_(loop),
+      faults_(WithCommonFaults(std::move(fault_names))),
+      server_(loop,
+              net::HttpServerOptions{.listen = listen,
+                                     .max_body_bytes = std::size_t{16} << 20,
+                                     .io_timeout = std::chrono::seconds(120)},
+              [this](net::HttpRequest request, net::HttpResponderPtr responder) {
+                Handle(std::move(request), std::move(responder));
+              }) {}
+
+void Service::Route(std::string method, const std::string& pattern, Handler handler) {
+  routes_.push_back({std::move(method), SplitPath(pattern), std::move(handler)});
+}
+
+void Service::OnStats(std::function<void(Json::Value& stats)> callback) {
+  on_stats_ = std::move(callback);
+}
+
+void Service::OnFaultsChanged(std::function<void()> callback) {
+  on_faults_changed_.push_back(std::move(callback));
+}
+
+void Service::Count(std::string_view name, std::uint64_t amount) {
+  counters_[std::string(name)] += amount;
+}
+
+void Service::CountMaximum(std::string_view name, std::uint64_t value) {
+  std::uint64_t& counter = counters_[std::string(name)];
+  counter = std::max(counter, value);
+}
+
+void Service::HoldWithoutAnswer(const net::HttpResponderPtr& responder) {
+  std::erase_if(unanswered_, [](const net::HttpResponderPtr& held) { return held->closed(); });
+  if (unanswered_.size() < kMostHeldCalls) {
+    unanswered_.push_back(responder);
+  }
+}
+
+void Service::After(Duration delay, std::function<void()> callback) {
+  const std::uint64_t id = next_timer_++;
+  timers_[id] = loop_.After(delay, [this, id, callback = std::move(callback)] {
+    // The timer owns this closure, so it is moved out and stays alive until the callback returns.
+    const std::function<void()> run = callback;
+    const net::Timer fired = std::move(timers_[id]);
+    timers_.erase(id);
+    run();
+  });
+}
+
+void Service::Handle(net::HttpRequest request, net::HttpResponderPtr responder) {
+  if (HandleControl(request, responder)) {
+    return;
+  }
+  Call call{std::move(request), std::move(responder), {}};
+  if (faults_.On("freeze")) {
+    if (frozen_.size() < kMostHeldCalls) {
+      frozen_.push_back(std::move(call));
+    }
+    return;
+  }
+  if (faults_.On("outage") || faults_.On("refuse")) {
+    Count("refused");
+    AnswerError(call.responder, 503, "unavailable", "refused by a fault switch");
+    return;
+  }
+  if (const std::int64_t delay = faults_.Value("delay_ms"); delay > 0) {
+    After(std::chrono::milliseconds(delay), [this, call = std::move(call)] { Dispatch(call); });
+    return;
+  }
+  Dispatch(call);
+}
+
+bool Service::HandleControl(const net::HttpRequest& request,
+                            const net::HttpResponderPtr& responder) {
+  if (request.path == "/faults") {
+    ApplyFaults(request, responder);
+    return true;
+  }
+  if (request.path == "/stats") {
+    Json::Value stats(Json::objectValue);
+    for (const auto& [name, value] : counters_) {
+      stats[name] = static_cast<Json::UInt64>(value);
+    }
+    if (on_stats_) {
+      on_stats_(stats);
+    }
+    AnswerJson(responder, 200, stats);
+    return true;
+  }
+  return false;
+}
+
+void Service::ApplyFaults(const net::HttpRequest& request, const net::HttpResponderPtr& responder) {
+  if (request.method == "POST") {
+    const std::optional<Json::Value> body = ParseJson(request.body);
+    const std::string error = body ? faults_.Apply(*body) : "the body is not JSON";
+    if (!error.empty()) {
+      AnswerError(responder, 400, "invalid_fault", error);
+      return;
+    }
+    for (const auto& callback : on_faults_changed_) {
+      callback();
+    }
+    if (!faults_.On("freeze")) {
+      for (const Call& call : std::exchange(frozen_, {})) {
+        Dispatch(call);
+      }
+    }
+  }
+  AnswerJson(responder, 200, faults_.ToJson());
+}
+
+void Service::Dispatch(const Call& call) {
+  const std::vector<std::string> segments = SplitPath(call.request.path);
+  Call matched = call;
+  bool path_known = false;
+  for (const RouteEntry& route : routes_) {
+    if (!Match(route.segments, segments, matched.parameters)) {
+      continue;
+    }
+    path_known = true;
+    if (route.method != call.request.method) {
+      continue;
+    }
+    try {
+      route.handler(matched);
+    } catch (const Json::Exception& error) {
+      // JsonCpp throws when a field has another type than the handler reads.
+      AnswerError(call.responder, 400, "invalid_body", error.what());
+    }
+    return;
+  }
+  AnswerError(call.responder, path_known ? 405 : 404, "no_route",
+              call.request.method + " " + call.request.path);
+}
+
+}  // namespace acaciaspring::fakes
