--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -1,12 +1,13 @@
 # Stand-ins of the platform and the load tool.
-add_library(acaciaspring_answer STATIC fakes/answer.cc)
+# Shared by the fakes and the load tool.
+add_library(acaciaspring_answer STATIC fakes/answer.cc fakes/json_text.cc)
 target_include_directories(acaciaspring_answer PUBLIC ${CMAKE_SOURCE_DIR})
-target_link_libraries(acaciaspring_answer PUBLIC acaciaspring_base)
+target_link_libraries(acaciaspring_answer PUBLIC acaciaspring_base PkgConfig::JSONCPP)
 
 # Logic of the fakes that does no I/O.
 add_library(acaciaspring_fake_models STATIC fakes/cache_events.cc fakes/engine_batch.cc fakes/engine_orders.cc
   fakes/faults.cc fakes/kv_holds.cc fakes/log_stream.cc fakes/prefix_cache.cc)
-target_link_libraries(acaciaspring_fake_models PUBLIC acaciaspring_answer PkgConfig::JSONCPP)
+target_link_libraries(acaciaspring_fake_models PUBLIC acaciaspring_answer)
 
 add_library(acaciaspring_fake_service STATIC fakes/close_connection.cc fakes/run_fake.cc fakes/service.cc)
 target_link_libraries(acaciaspring_fake_service PUBLIC acaciaspring_fake_models acaciaspring_net PkgConfig::GLOG
@@ -23,3 +24,17 @@
   fakes/engine_orders_test.cc fakes/log_stream_test.cc fakes/prefix_cache_test.cc src/main/test_main.cc)
 target_link_libraries(fakes_test PRIVATE acaciaspring_fake_models Boost::unit_test_framework)
 add_test(NAME fakes COMMAND fakes_test --log_level=test_suite)
+
+
+# The load tool. Its library is no package: acaciaspring_load is the name of the program.
+file(GLOB load_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/load/*.cc)
+file(GLOB load_tests CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/load/*_test.cc)
+list(REMOVE_ITEM load_sources ${load_tests})
+add_library(acaciaspring_load_tool STATIC ${load_sources})
+target_link_libraries(acaciaspring_load_tool PUBLIC acaciaspring_answer acaciaspring_net PkgConfig::GLOG
+  Boost::program_options)
+acaciaspring_program(acaciaspring_load SOURCES src/main/load.cc DEPENDS acaciaspring_load_tool)
+
+add_executable(load_test ${load_tests} src/main/test_main.cc)
+target_link_libraries(load_test PRIVATE acaciaspring_load_tool acaciaspring_fake_service Boost::unit_test_framework)
+add_test(NAME load COMMAND load_test --log_level=test_suite)
--- a/fakes/service.cc
+++ b/fakes/service.cc
@@ -1,8 +1,5 @@
 #include "fakes/service.h"
 
-#include <json/reader.h>
-#include <json/writer.h>
-
 #include <algorithm>
 #include <charconv>
 #include <memory>
@@ -54,27 +51,6 @@
 
 }  // namespace
 
-std::string WriteJson(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
-}
-
-std::optional<Json::Value> ParseJson(std::string_view text) {
-  const Json::CharReaderBuilder builder;
-  const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  try {
-    if (!reader->parse(text.data(), text.data() + text.size(), &value, nullptr)) {
-      return std::nullopt;
-    }
-  } catch (const Json::Exception&) {
-    // The reader throws when the nesting is too deep.
-    return std::nullopt;
-  }
-  return value;
-}
-
 std::uint64_t QueryNumber(const net::HttpRequest& request,
                           std::string_view name,
                           std::uint64_t fallback) {
--- a/fakes/service.h
+++ b/fakes/service.h
@@ -7,13 +7,13 @@
 #include <cstddef>
 #include <functional>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "acaciaspring/net.h"
 #include "fakes/faults.h"
+#include "fakes/json_text.h"
 
 namespace acaciaspring::fakes {
 
@@ -25,10 +25,6 @@
   std::vector<std::string> parameters;
 };
 
-/// @brief JSON without line breaks.
-std::string WriteJson(const Json::Value& value);
-/// @brief Nothing when the text is not JSON.
-std::optional<Json::Value> ParseJson(std::string_view text);
 /// @brief A number of the query, or `fallback` when it is absent or not a number.
 std::uint64_t QueryNumber(const net::HttpRequest& request,
                           std::string_view name,
--- /dev/null
+++ b/src/load/history_check.cc
@@ -0,0 +1,31 @@
+#include <algorithm>
+
+#include "src/load/program_runner.h"
+
+namespace acaciaspring::load {
+
+std::string FindHistoryDifference(const std::vector<fakes::Message>& stored,
+                                  std::vector<fakes::Message> expected,
+                                  const std::vector<fakes::Message>& uncertain,
+                                  std::uint64_t max_tokens) {
+  if (!uncertain.empty() && stored.size() > expected.size()) {
+    expected.insert(expected.end(), uncertain.begin(), uncertain.end());
+    // The answer may be shorter than the cap when the budget lowered it.
+    const std::uint64_t words = std::min(max_tokens, fakes::CountWords(stored.back().content));
+    expected.push_back({"assistant", fakes::JoinWords(fakes::AnswerWords(expected, words))});
+  }
+  if (stored.size() != expected.size()) {
+    return std::to_string(stored.size()) + " messages instead of " +
+           std::to_string(expected.size());
+  }
+  for (std::size_t index = 0; index < stored.size(); ++index) {
+    if (stored[index] != expected[index]) {
+      return "message " + std::to_string(index) + " is " + stored[index].role + ": '" +
+             stored[index].content + "' instead of " + expected[index].role + ": '" +
+             expected[index].content + "'";
+    }
+  }
+  return {};
+}
+
+}  // namespace acaciaspring::load
--- /dev/null
+++ b/src/load/sse_parser_test.cc
@@ -0,0 +1,35 @@
+#include "src/load/sse_parser.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+namespace acaciaspring::load {
+
+// Network reads split the stream anywhere, also within a line end.
+BOOST_AUTO_TEST_CASE(events_do_not_depend_on_the_pieces) {
+  const std::string stream =
+      "id: 1\ndata: {\"a\":1}\n\n: comment\n\nid:2\r\ndata:x\r\ndata: y\r\n\r\ndata: [DONE]\n\n";
+  for (std::size_t piece = 1; piece <= stream.size(); ++piece) {
+    std::vector<SseEvent> events;
+    SseParser parser([&events](const SseEvent& event) { events.push_back(event); });
+    for (std::size_t at = 0; at < stream.size(); at += piece) {
+      parser.Feed(std::string_view(stream).substr(at, piece));
+    }
+    BOOST_REQUIRE(events.size() == 3U);
+    BOOST_TEST((events[0] == SseEvent{"1", "{\"a\":1}"}));
+    BOOST_TEST((events[1] == SseEvent{"2", "x\ny"}));
+    BOOST_TEST((events[2] == SseEvent{"", "[DONE]"}));
+  }
+}
+
+// Half an event at a cut must not count as received: the resumed stream sends it again.
+BOOST_AUTO_TEST_CASE(unfinished_event_is_not_reported) {
+  int events = 0;
+  SseParser parser([&events](const SseEvent&) { ++events; });
+  parser.Feed("id: 1\ndata: a\n");
+  BOOST_TEST(events == 0);
+  parser.Feed("\n");
+  BOOST_TEST(events == 1);
+}
+
+}  // namespace acaciaspring::load
