--- a/include/acaciaspring/wire.h
+++ b/include/acaciaspring/wire.h
@@ -428,6 +428,7 @@
                              DispatchEvent,
                              DispatchFinished,
                              DispatchCancelled,
+                             EndpointReport,
                              StatusRequest,
                              StatusReply>;
 
