--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -19,7 +19,7 @@
 
 /// @brief An IPv4 address and port; names are never resolved.
 struct Address {
-  std::string ip;
+  std::string ip = {};
   std::uint16_t port = 0;
   auto operator<=>(const Address&) const = default;
   std::string ToString() const;
@@ -46,6 +46,12 @@
   int code_;
 };
 
+/// @brief A message that is larger than the receiver accepts.
+class MessageTooLargeError : public Error {
+ public:
+  using Error::Error;
+};
+
 /// @brief Parses "a.b.c.d:port"; throws AddressError.
 Address ParseAddress(std::string_view text);
 
@@ -65,7 +71,8 @@
   std::function<void()> cancel_;
 };
 
-/// @brief The process's event loop (libuv). Everything in this package runs on its thread.
+/// @brief The process's event loop (libuv). Everything in this package runs on its thread, and the
+/// loop outlives every other object of this package. SIGPIPE is ignored from then on.
 class Loop {
  public:
   Loop();
@@ -99,16 +106,16 @@
 std::string_view FindHeader(const Headers& headers, std::string_view name);
 
 struct HttpRequest {
-  std::string method;
-  /// Path without the query.
-  std::string path;
+  std::string method = {};
+  /// Path without the query, as received (not percent-decoded).
+  std::string path = {};
   /// Query without the question mark, or empty.
-  std::string query;
-  Headers headers;
-  std::string body;
+  std::string query = {};
+  Headers headers = {};
+  std::string body = {};
 };
 
-/// @brief Value of a query parameter, or empty.
+/// @brief Value of a query parameter as received (not percent-decoded), or empty.
 std::string_view FindQueryParameter(const HttpRequest& request, std::string_view name);
 
 /// @brief Answers one HTTP request, at once or as a stream. Safe to keep after the caller is gone:
@@ -116,7 +123,8 @@
 class HttpResponder {
  public:
   virtual ~HttpResponder() = default;
-  /// @brief Sends status and headers; the body follows by Write and End.
+  /// @brief Sets status and headers, which are sent with the first byte of the body; the body
+  /// follows by Write and End.
   virtual void Start(int status, const Headers& headers) = 0;
   /// @brief Queues bytes of the body; buffers until the socket takes them.
   virtual void Write(std::string_view data) = 0;
@@ -127,15 +135,18 @@
   virtual std::size_t pending_bytes() const = 0;
   /// @brief True when the answer is finished or the caller's connection is gone.
   virtual bool closed() const = 0;
-  /// @brief Called once if the connection is lost before End.
+  /// @brief Called once from the loop if the connection is lost before the whole answer was handed
+  /// to the socket; not called once the server object is destroyed.
   virtual void OnClosed(std::function<void()> callback) = 0;
 };
 using HttpResponderPtr = std::shared_ptr<HttpResponder>;
 
 struct HttpServerOptions {
-  Address listen;
+  Address listen = {};
   /// Larger bodies are answered with 413.
   std::size_t max_body_bytes = std::size_t{4} << 20;
+  /// Longest idle time of a connection, time to receive a request, and time without progress when
+  /// the caller does not read its answer.
   Duration io_timeout = std::chrono::seconds(30);
 };
 
@@ -143,12 +154,15 @@
 class HttpServer {
  public:
   using Handler = std::function<void(HttpRequest request, HttpResponderPtr responder)>;
-  /// @brief Throws SocketError when the address cannot be bound.
+  /// @brief Throws SocketError when the address cannot be bound. An exception of the handler is
+  /// logged and answered with 500.
   HttpServer(Loop& loop, HttpServerOptions options, Handler handler);
+  /// @brief Breaks the connections that are still open.
   ~HttpServer();
-  /// @brief Closes the listening socket; open connections go on.
+  /// @brief Closes the listening socket; open connections go on and are closed after their next
+  /// answer.
   void StopAccepting();
-  /// @brief Requests whose answer is not finished.
+  /// @brief Requests whose answer is not wholly handed to the socket.
   std::size_t open_requests() const;
   /// @brief The bound address; the port is the real one when 0 was asked for.
   Address address() const;
@@ -159,21 +173,23 @@
 };
 
 struct HttpClientRequest {
-  Address server;
+  Address server = {};
   std::string method = "GET";
   /// Path with the query.
   std::string target = "/";
-  Headers headers;
-  std::string body;
+  Headers headers = {};
+  std::string body = {};
   /// Longest time without a byte from the server, and for connecting.
   Duration io_timeout = std::chrono::seconds(30);
 };
 
-/// @brief The whole answer arrived.
+/// @brief The whole answer arrived. An answer without a length that ends with its connection counts
+/// as interrupted instead, because a broken connection looks the same.
 struct HttpFinished {
   int status = 0;
 };
-/// @brief No byte of the request was handed to a socket: the request did not run.
+/// @brief No byte of the request was handed to a socket: the request did not run. Also the result
+/// of a request whose method, target or headers contain control characters.
 struct HttpNotSent {};
 /// @brief The exchange broke after the request may have been sent; `timed_out` tells silence from a
 /// closed connection.
@@ -184,11 +200,11 @@
 
 struct HttpCallbacks {
   /// May be empty.
-  std::function<void(int status, const Headers& headers)> on_head;
+  std::function<void(int status, const Headers& headers)> on_head = {};
   /// May be empty.
-  std::function<void(std::string_view data)> on_data;
+  std::function<void(std::string_view data)> on_data = {};
   /// Called exactly once unless the call is cancelled; never from within Send.
-  std::function<void(const HttpResult& result)> on_done;
+  std::function<void(const HttpResult& result)> on_done = {};
 };
 
 /// @brief One HTTP exchange of a client. Destroying or cancelling it closes the connection, and no
@@ -206,11 +222,13 @@
   Duration pool_idle = std::chrono::seconds(3);
 };
 
-/// @brief HTTP/1.1 client (h2o on the loop) with pooled connections.
+/// @brief HTTP/1.1 client (h2o on the loop) with pooled connections. Destroying it cancels its
+/// calls.
 class HttpClient {
  public:
   HttpClient(Loop& loop, HttpClientOptions options);
   ~HttpClient();
+  /// @brief Throws AddressError when the server's ip is not an IPv4 address.
   std::shared_ptr<HttpCall> Send(HttpClientRequest request, HttpCallbacks callbacks);
 
  private:
@@ -220,9 +238,9 @@
 
 /// @brief Whole body of an answer up to `max_bytes` (longer ones count as interrupted).
 struct HttpReply {
-  HttpResult result;
-  Headers headers;
-  std::string body;
+  HttpResult result = {};
+  Headers headers = {};
+  std::string body = {};
 };
 /// @brief Sends a request and collects the answer. The call is kept alive until it ends.
 std::shared_ptr<HttpCall> Fetch(HttpClient& client,
@@ -238,11 +256,13 @@
   std::uint64_t replayed = 0;
 };
 
-/// @brief An authenticated stream of messages to another daemon over TCP.
+/// @brief An authenticated stream of messages to another daemon over TCP. Destroying it closes the
+/// connection, and no callback follows. A bad frame closes the connection.
 class PeerConnection {
  public:
   virtual ~PeerConnection() = default;
-  /// @brief Queues one message; ignored after the connection is closed.
+  /// @brief Queues one message; ignored after the connection is closed. Throws MessageTooLargeError
+  /// above wire::kMaxFrameBytes. A peer that does not read is disconnected when too much is queued.
   virtual void Send(std::string_view payload) = 0;
   virtual void Close() = 0;
   virtual bool open() const = 0;
@@ -253,13 +273,13 @@
 
 struct PeerCallbacks {
   /// The handshake is done and messages can be sent.
-  std::function<void()> on_open;
-  std::function<void(std::string_view payload)> on_message;
-  /// Called exactly once, also when the connection was never open.
-  std::function<void()> on_closed;
+  std::function<void()> on_open = {};
+  std::function<void(std::string_view payload)> on_message = {};
+  /// Called exactly once from the loop, also when the connection was never open and after Close.
+  std::function<void()> on_closed = {};
 };
 
-/// @brief Connects; messages sent before on_open are queued.
+/// @brief Connects; messages sent before on_open are queued. `drops` outlives the connection.
 PeerConnectionPtr ConnectPeer(Loop& loop,
                               const Address& address,
                               const std::string& cluster_key,
@@ -269,7 +289,8 @@
 /// @brief Accepts authenticated connections.
 class PeerListener {
  public:
-  /// @brief Returns the callbacks of a new connection.
+  /// @brief Returns the callbacks of a new connection, which is closed unless they or their owner
+  /// keep the pointer.
   using OnAccept = std::function<PeerCallbacks(PeerConnectionPtr connection)>;
   /// @brief Throws SocketError when the address cannot be bound.
   PeerListener(Loop& loop,
@@ -292,6 +313,7 @@
   /// @brief Throws SocketError when the address cannot be bound.
   DatagramSocket(Loop& loop, const Address& listen, OnDatagram on_datagram);
   ~DatagramSocket();
+  /// @brief Sends at once or drops. Throws MessageTooLargeError above wire::kMaxDatagramBytes.
   void Send(const Address& to, std::string_view data);
   Address address() const;
 
--- /dev/null
+++ b/src/net/http_client_test.cc
@@ -0,0 +1,394 @@
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <optional>
+
+#include "acaciaspring/net.h"
+#include "src/net/test_support.h"
+
+namespace acaciaspring::net {
+
+namespace {
+
+constexpr std::size_t kManyBytes = std::size_t{32} << 20;
+
+std::string Describe(const HttpResult& result) {
+  return std::visit(Overloaded{
+                        [](const HttpFinished& finished) {
+                          return "finished " + std::to_string(finished.status);
+                        },
+                        [](const HttpNotSent&) { return std::string("not sent"); },
+                        [](const HttpInterrupted& broken) {
+                          return std::string(broken.timed_out ? "timed out" : "interrupted");
+                        },
+                    },
+                    result);
+}
+
+/// @brief Runs one request to its end.
+HttpReply Get(Loop& loop, HttpClient& client, HttpClientRequest request) {
+  std::optional<HttpReply> reply;
+  Fetch(client, std::move(request), kManyBytes, [&](HttpReply given) { reply = std::move(given); });
+  BOOST_TEST(!reply.has_value());
+  RunUntil(loop, [&] { return reply.has_value(); });
+  return *reply;
+}
+
+/// @brief The end of a request to a server that sends `answer` and then closes or resets.
+HttpReply GetRaw(const std::string& answer, bool reset = false, const std::string& method = "GET") {
+  Loop loop;
+  HttpClient client(loop, {});
+  RawServer server(loop);
+  std::optional<HttpReply> reply;
+  Fetch(client, {.server = server.address(), .method = method}, kManyBytes,
+        [&](HttpReply given) { reply = std::move(given); });
+  RunUntil(loop, [&] {
+    return !server.connections().empty() && !server.connections()[0]->received().empty();
+  });
+  server.connections()[0]->Send(answer);
+  server.connections()[0]->Close(reset);
+  RunUntil(loop, [&] { return reply.has_value(); });
+  return *reply;
+}
+
+Address UnusedAddress() {
+  Loop loop;
+  return RawServer(loop).address();
+}
+
+HttpServer::Handler EchoHandler() {
+  return [](HttpRequest request, const HttpResponderPtr& responder) {
+    responder->Respond(200, {{"x-method", request.method}}, request.body);
+  };
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(http_client)
+
+// Guards against loss or change of a request on its way through client and server.
+BOOST_AUTO_TEST_CASE(request_and_answer_arrive_whole) {
+  Loop loop;
+  HttpRequest seen;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort, .max_body_bytes = kManyBytes},
+                    [&](HttpRequest request, const HttpResponderPtr& responder) {
+                      seen = request;
+                      responder->Respond(201, {{"X-Answer", "a b"}}, request.body);
+                    });
+  HttpClient client(loop, {});
+  const std::string body(std::size_t{3} << 20, 'b');
+  const HttpReply reply = Get(loop, client,
+                              {.server = server.address(),
+                               .method = "POST",
+                               .target = "/p?q=1",
+                               .headers = {{"Idempotency-Key", "k 1"}},
+                               .body = body});
+  BOOST_TEST(Describe(reply.result) == "finished 201");
+  BOOST_TEST(FindHeader(reply.headers, "x-answer") == "a b");
+  BOOST_TEST((reply.body == body));
+  BOOST_TEST(seen.path == "/p");
+  BOOST_TEST(seen.query == "q=1");
+  BOOST_TEST(FindHeader(seen.headers, "idempotency-key") == "k 1");
+}
+
+// Guards against answers that are attributed to the next request on a reused connection, among them
+// answers without a body.
+BOOST_AUTO_TEST_CASE(connection_is_reused_without_mixing_answers) {
+  Loop loop;
+  RawServer counter(loop);
+  std::vector<std::string> paths;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort},
+                    [&](const HttpRequest& request, const HttpResponderPtr& responder) {
+                      paths.push_back(request.path);
+                      responder->Respond(request.path == "/204" ? 204 : 200, {}, request.path);
+                    });
+  HttpClient client(loop, {});
+  for (int round = 0; round < 3; ++round) {
+    HttpReply reply = Get(loop, client, {.server = server.address(), .target = "/first"});
+    BOOST_TEST(reply.body == "/first");
+    reply = Get(loop, client, {.server = server.address(), .method = "HEAD", .target = "/head"});
+    BOOST_TEST(Describe(reply.result) == "finished 200");
+    BOOST_TEST(reply.body.empty());
+    reply = Get(loop, client, {.server = server.address(), .target = "/204"});
+    BOOST_TEST(Describe(reply.result) == "finished 204");
+    reply = Get(loop, client, {.server = server.address(), .target = "/last"});
+    BOOST_TEST(reply.body == "/last");
+  }
+  BOOST_TEST(paths.size() == 12U);
+}
+
+// Guards against requests that fail because the server closed an idle connection.
+BOOST_AUTO_TEST_CASE(pooled_connection_that_the_server_closed_is_not_used) {
+  Loop loop;
+  HttpClient client(loop, {});
+  auto server = std::make_unique<HttpServer>(loop, HttpServerOptions{.listen = kAnyLoopbackPort},
+                                             EchoHandler());
+  const Address address = server->address();
+  for (int round = 0; round < 5; ++round) {
+    const HttpReply reply =
+        Get(loop, client, {.server = address, .method = "POST", .body = "hello"});
+    BOOST_TEST(Describe(reply.result) == "finished 200");
+    server.reset();
+    server =
+        std::make_unique<HttpServer>(loop, HttpServerOptions{.listen = address}, EchoHandler());
+  }
+}
+
+// Guards against a request reported as possibly executed although nobody could have received it.
+BOOST_AUTO_TEST_CASE(closed_port_is_not_sent) {
+  Loop loop;
+  HttpClient client(loop, {});
+  const HttpReply reply = Get(loop, client, {.server = UnusedAddress()});
+  BOOST_TEST(Describe(reply.result) == "not sent");
+}
+
+// Guards against forged headers and requests by control characters in caller-supplied values.
+BOOST_AUTO_TEST_CASE(control_characters_are_not_sent) {
+  Loop loop;
+  HttpClient client(loop, {});
+  RawServer server(loop);
+  const std::vector<HttpClientRequest> requests = {
+      {.server = server.address(), .headers = {{"key", "a\r\nx: y"}}},
+      {.server = server.address(), .headers = {{"key: a\nx", "y"}}},
+      {.server = server.address(), .target = "/a b"},
+      {.server = server.address(), .target = "/a\r\n\r\n"},
+      {.server = server.address(), .method = "GET /x"},
+      {.server = server.address(), .headers = {{"", "y"}}}};
+  for (const HttpClientRequest& request : requests) {
+    BOOST_TEST(Describe(Get(loop, client, request).result) == "not sent");
+  }
+  BOOST_TEST(server.connections().empty());
+}
+
+// Guards against a broken answer that is taken for a whole one, or for a request that did not run.
+BOOST_AUTO_TEST_CASE(broken_answers_are_interrupted) {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::vector<std::string> broken = {
+      "",
+      head,
+      head + "Content-Length: 10\r\n\r\n",
+      head + "Content-Length: 10\r\n\r\nhalf",
+      head + "Content-Length: x\r\n\r\nhalf",
+      head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n",
+      head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel",
+      head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
+      head + "\r\nuntil the connection ends",
+      "nonsense\r\n\r\n",
+  };
+  for (const std::string& answer : broken) {
+    for (const bool reset : {false, true}) {
+      BOOST_TEST(Describe(GetRaw(answer, reset).result) == "interrupted", answer);
+    }
+  }
+  HttpReply reply = GetRaw(head + "Content-Length: 4\r\n\r\nfull");
+  BOOST_TEST(Describe(reply.result) == "finished 200");
+  BOOST_TEST(reply.body == "full");
+  reply = GetRaw("HTTP/1.1 100 Continue\r\n\r\n" + head +
+                 "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n");
+  BOOST_TEST(Describe(reply.result) == "finished 200");
+  BOOST_TEST(reply.body == "full");
+  reply = GetRaw("HTTP/1.1 204 No Content\r\n\r\n");
+  BOOST_TEST(Describe(reply.result) == "finished 204");
+}
+
+// Guards against surplus bytes of one answer that become part of the next.
+BOOST_AUTO_TEST_CASE(surplus_bytes_end_the_connection) {
+  Loop loop;
+  HttpClient client(loop, {});
+  RawServer server(loop);
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfull";
+  for (std::size_t round = 0; round < 2; ++round) {
+    std::optional<HttpReply> reply;
+    Fetch(client, {.server = server.address()}, kManyBytes,
+          [&](HttpReply given) { reply = std::move(given); });
+    RunUntil(loop, [&] {
+      return server.connections().size() == round + 1 &&
+             !server.connections()[round]->received().empty();
+    });
+    server.connections()[round]->Send(answer + "HTTP/1.1 500 Forged\r\nContent-Length: 0\r\n\r\n");
+    RunUntil(loop, [&] { return reply.has_value(); });
+    BOOST_TEST(Describe(reply->result) == "finished 200");
+    BOOST_TEST(reply->body == "full");
+  }
+}
+
+// Guards against a server's death in the middle of an answer that goes unnoticed.
+BOOST_AUTO_TEST_CASE(server_that_dies_during_the_answer_interrupts_it) {
+  Loop loop;
+  HttpClient client(loop, {});
+  auto server =
+      std::make_unique<HttpServer>(loop, HttpServerOptions{.listen = kAnyLoopbackPort},
+                                   [](const HttpRequest&, const HttpResponderPtr& responder) {
+                                     responder->Start(200, {});
+                                     responder->Write("part");
+                                   });
+  std::string received;
+  std::optional<HttpResult> result;
+  const auto call = client.Send({.server = server->address()},
+                                {.on_head = [](int, const Headers&) {},
+                                 .on_data = [&](std::string_view data) { received.append(data); },
+                                 .on_done = [&](const HttpResult& given) { result = given; }});
+  RunUntil(loop, [&] { return received == "part"; });
+  server.reset();
+  RunUntil(loop, [&] { return result.has_value(); });
+  BOOST_TEST(Describe(*result) == "interrupted");
+}
+
+// Guards against calls that wait for ever for a silent server, and against a timeout that strikes
+// although data keeps coming.
+BOOST_AUTO_TEST_CASE(silence_times_out) {
+  Loop loop;
+  HttpClient client(loop, {});
+  RawServer silent(loop);
+  const Duration timeout = std::chrono::milliseconds(200);
+  HttpReply reply = Get(loop, client, {.server = silent.address(), .io_timeout = timeout});
+  BOOST_TEST(Describe(reply.result) == "timed out");
+
+  std::vector<Timer> timers;
+  HttpServer slow(loop, {.listen = kAnyLoopbackPort},
+                  [&](const HttpRequest&, const HttpResponderPtr& responder) {
+                    responder->Start(200, {});
+                    for (int part = 0; part < 20; ++part) {
+                      timers.push_back(loop.After(part * timeout / 10, [responder, part] {
+                        responder->Write("x");
+                        if (part == 19) {
+                          responder->End();
+                        }
+                      }));
+                    }
+                  });
+  reply = Get(loop, client, {.server = slow.address(), .io_timeout = 10 * timeout});
+  BOOST_TEST(Describe(reply.result) == "finished 200");
+  BOOST_TEST(reply.body == std::string(20, 'x'));
+}
+
+// Guards against callbacks into objects that their owner has given up.
+BOOST_AUTO_TEST_CASE(no_callback_follows_a_cancel) {
+  Loop loop;
+  HttpClient client(loop, {});
+  HttpServer server(loop, {.listen = kAnyLoopbackPort},
+                    [](const HttpRequest&, const HttpResponderPtr& responder) {
+                      responder->Start(200, {});
+                      responder->Write("part");
+                      responder->End();
+                    });
+  enum class Moment : std::uint8_t { kAtOnce, kDestroyed, kInHead, kInData, kInDone };
+  std::map<Moment, std::string> seen;
+  std::map<Moment, std::shared_ptr<HttpCall>> calls;
+  for (const Moment moment :
+       {Moment::kAtOnce, Moment::kDestroyed, Moment::kInHead, Moment::kInData, Moment::kInDone}) {
+    const auto cancel_at = [&seen, &calls, moment](Moment now, const char* event) {
+      seen[moment] += event;
+      if (now == moment) {
+        calls[moment]->Cancel();
+        calls[moment].reset();
+      }
+    };
+    calls[moment] =
+        client.Send({.server = server.address()},
+                    {.on_head = [=](int, const Headers&) { cancel_at(Moment::kInHead, "head "); },
+                     .on_data = [=](std::string_view) { cancel_at(Moment::kInData, "data "); },
+                     .on_done = [=](const HttpResult&) { cancel_at(Moment::kInDone, "done "); }});
+  }
+  calls[Moment::kAtOnce]->Cancel();
+  calls[Moment::kDestroyed].reset();
+  RunUntil(loop, [&] { return seen[Moment::kInDone] == "head data done "; });
+  // The other calls were sent before, to the same server.
+  Get(loop, client, {.server = server.address()});
+  BOOST_TEST(seen[Moment::kAtOnce] == "");
+  BOOST_TEST(seen[Moment::kDestroyed] == "");
+  BOOST_TEST(seen[Moment::kInHead] == "head ");
+  BOOST_TEST(seen[Moment::kInData] == "head data ");
+}
+
+// Guards against use of a client after a callback has destroyed it, at each kind of callback.
+BOOST_AUTO_TEST_CASE(client_may_be_destroyed_by_a_callback) {
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort},
+                    [](const HttpRequest& request, const HttpResponderPtr& responder) {
+                      if (request.path == "/whole") {
+                        responder->Respond(200, {}, "whole");
+                        return;
+                      }
+                      responder->Start(200, {});
+                      responder->Write("part");
+                    });
+  for (const std::string target : {"/whole", "/part"}) {
+    for (int moment = 0; moment < 3; ++moment) {
+      auto client = std::make_unique<HttpClient>(loop, HttpClientOptions{});
+      const auto destroy_at = [&](int now) {
+        if (now == moment) {
+          client.reset();
+        }
+      };
+      const auto call = client->Send({.server = server.address(), .target = target},
+                                     {.on_head = [&](int, const Headers&) { destroy_at(0); },
+                                      .on_data = [&](std::string_view) { destroy_at(1); },
+                                      .on_done = [&](const HttpResult&) { destroy_at(2); }});
+      const bool ends = target == "/whole" || moment < 2;
+      if (!ends) {
+        continue;
+      }
+      RunUntil(loop, [&] { return client == nullptr; });
+    }
+  }
+  RunUntil(loop, [&] { return server.open_requests() == 0; });
+  BOOST_TEST(server.open_requests() == 0U);
+}
+
+// Guards against memory that grows with an answer without end.
+BOOST_AUTO_TEST_CASE(fetch_ends_at_its_limit) {
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort},
+                    [](const HttpRequest&, const HttpResponderPtr& responder) {
+                      responder->Start(200, {});
+                      responder->Write(std::string(1001, 'x'));
+                    });
+  HttpClient client(loop, {});
+  std::optional<HttpReply> reply;
+  Fetch(client, {.server = server.address()}, 1000, [&](HttpReply given) { reply = given; });
+  RunUntil(loop, [&] { return reply.has_value(); });
+  BOOST_TEST(Describe(reply->result) == "interrupted");
+  RunUntil(loop, [&] { return server.open_requests() == 0; });
+}
+
+// Guards against a refusal of a body that is too large being lost because the connection closes.
+BOOST_AUTO_TEST_CASE(refusal_of_a_large_body_is_received) {
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort, .max_body_bytes = 1000}, EchoHandler());
+  HttpClient client(loop, {});
+  const HttpReply reply = Get(
+      loop, client, {.server = server.address(), .method = "POST", .body = std::string(1001, 'x')});
+  BOOST_TEST(Describe(reply.result) == "finished 413");
+}
+
+// Guards against lost or mixed answers, and against leaks of pooled connections, under load.
+BOOST_AUTO_TEST_CASE(many_concurrent_requests_get_their_own_answers) {
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort}, EchoHandler());
+  HttpClient client(loop, {.pool_capacity = 8});
+  constexpr int kRequests = 5000;
+  constexpr int kConcurrent = 32;
+  int started = 0;
+  int finished = 0;
+  int wrong = 0;
+  std::function<void()> start = [&] {
+    const std::string body = "request " + std::to_string(started++);
+    Fetch(client, {.server = server.address(), .method = "POST", .body = body}, 1000,
+          [&, body](const HttpReply& reply) {
+            wrong += reply.body == body ? 0 : 1;
+            ++finished;
+            if (started < kRequests) {
+              start();
+            }
+          });
+  };
+  for (int i = 0; i < kConcurrent; ++i) {
+    start();
+  }
+  RunUntil(loop, [&] { return finished == kRequests; });
+  BOOST_TEST(wrong == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::net
--- /dev/null
+++ b/src/net/http_responder.cc
@@ -0,0 +1,187 @@
+#include "src/net/http_responder.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+#include "src/net/http_message.h"
+
+namespace acaciaspring::net {
+
+H2oResponder::H2oResponder(Loop& loop, h2o_req_t* request)
+    : loop_(loop),
+      request_(request),
+      generator_{.base = {.proceed =
+                              [](h2o_generator_t* self, h2o_req_t*) {
+                                reinterpret_cast<Generator*>(self)->responder->OnProceed();
+                              },
+                          // The disposal of the request, which follows, tells the same.
+                          .stop = [](h2o_generator_t*, h2o_req_t*) {}},
+                 .responder = this},
+      head_only_(View(request->method) == "HEAD") {}
+
+void H2oResponder::Start(int status, const Headers& headers) {
+  if (closed() || started_) {
+    return;
+  }
+  // h2o does not write the head before the first byte of the body.
+  SetHead(status, headers, SIZE_MAX);
+}
+
+void H2oResponder::Write(std::string_view data) {
+  if (closed() || !started_ || head_only_) {
+    return;
+  }
+  pending_.append(data);
+  Flush();
+}
+
+void H2oResponder::End() {
+  if (closed() || !started_) {
+    return;
+  }
+  ended_ = true;
+  Flush();
+}
+
+void H2oResponder::Respond(int status, const Headers& headers, std::string_view body) {
+  if (closed() || started_) {
+    return;
+  }
+  SetHead(status, headers, body.size());
+  if (!head_only_) {
+    pending_.assign(body);
+  }
+  ended_ = true;
+  Flush();
+}
+
+std::size_t H2oResponder::pending_bytes() const {
+  return pending_.size();
+}
+
+bool H2oResponder::closed() const {
+  return ended_ || lost_ || request_ == nullptr;
+}
+
+void H2oResponder::OnClosed(std::function<void()> callback) {
+  on_closed_ = std::move(callback);
+}
+
+void H2oResponder::SetHead(int status, const Headers& headers, std::size_t content_length) {
+  started_ = true;
+  request_->res.content_length = content_length;
+  request_->res.status = status;
+  request_->res.reason = ReasonPhrase(status);
+  for (const auto& [original_name, original_value] : headers) {
+    const std::string name = LowerCase(original_name);
+    // A line break in a name or value would let it forge further headers.
+    if (IsFramingHeader(name) || !IsHeaderText(name) || !IsHeaderText(original_value)) {
+      continue;
+    }
+    const h2o_iovec_t value =
+        h2o_strdup(&request_->pool, original_value.data(), original_value.size());
+    const h2o_iovec_t key = h2o_strdup(&request_->pool, name.data(), name.size());
+    h2o_add_header_by_str(&request_->pool, &request_->res.headers, key.base, key.len,
+                          /*maybe_token=*/1, nullptr, value.base, value.len);
+  }
+  h2o_start_response(request_, &generator_.base);
+}
+
+void H2oResponder::Flush() {
+  if (in_flight_ || final_sent_ || lost_ || request_ == nullptr || (pending_.empty() && !ended_)) {
+    return;
+  }
+  sending_ = std::exchange(pending_, {});
+  in_flight_ = true;
+  final_sent_ = ended_;
+  send_started_ = loop_.Now();
+  h2o_iovec_t buffer = ToIovec(sending_);
+  h2o_send(request_, &buffer, sending_.empty() ? 0 : 1,
+           ended_ ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+void H2oResponder::OnProceed() {
+  const auto self = shared_from_this();
+  in_flight_ = false;
+  sending_.clear();
+  Flush();
+}
+
+void H2oResponder::OnDisposed() {
+  request_ = nullptr;
+  // A final send that is disposed of has been written or its connection is broken; h2o does not
+  // tell which.
+  if (!final_sent_) {
+    Lose();
+  }
+  on_closed_ = nullptr;
+}
+
+void H2oResponder::Lose() {
+  lost_ = true;
+  pending_.clear();
+  if (auto callback = std::exchange(on_closed_, nullptr)) {
+    // The callback may destroy the server, which h2o does not allow from within its own calls.
+    loop_.Post([self = weak_from_this(), callback = std::move(callback)] {
+      if (const auto live = self.lock()) {
+        callback();
+      }
+    });
+  }
+}
+
+void H2oResponder::CheckConnection(Duration io_timeout) {
+  if (request_ == nullptr || lost_) {
+    return;
+  }
+  if (in_flight_) {
+    if (loop_.Now() - send_started_ > io_timeout) {
+      // The pending write fails, after which h2o disposes of the request.
+      shutdown(FileDescriptor(), SHUT_RDWR);
+    }
+    return;
+  }
+  char byte = 0;
+  const ssize_t received = recv(FileDescriptor(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (received == 0 || (received < 0 && errno != EAGAIN && errno != EINTR)) {
+    Lose();
+    BreakConnection();
+  }
+}
+
+void H2oResponder::Abandon() {
+  on_closed_ = nullptr;
+  if (request_ != nullptr && !lost_) {
+    lost_ = true;
+    pending_.clear();
+    BreakConnection();
+  }
+}
+
+void H2oResponder::BreakConnection() {
+  const int fd = FileDescriptor();
+  request_->http1_is_persistent = 0;
+  if (!started_) {
+    started_ = true;
+    request_->res.status = 503;
+    request_->res.reason = ReasonPhrase(503);
+    h2o_start_response(request_, &generator_.base);
+  }
+  if (!in_flight_ && !final_sent_) {
+    final_sent_ = true;
+    in_flight_ = true;
+    shutdown(fd, SHUT_RDWR);
+    h2o_send(request_, nullptr, 0, H2O_SEND_STATE_ERROR);
+    return;
+  }
+  shutdown(fd, SHUT_RDWR);
+}
+
+int H2oResponder::FileDescriptor() const {
+  return h2o_socket_get_fd(request_->conn->callbacks->get_socket(request_->conn));
+}
+
+}  // namespace acaciaspring::net
--- /dev/null
+++ b/src/net/http_server.cc
@@ -0,0 +1,267 @@
+#include <glog/logging.h>
+#include <sys/socket.h>
+
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "acaciaspring/net.h"
+#include "src/net/deferred.h"
+#include "src/net/h2o.h"
+#include "src/net/http_message.h"
+#include "src/net/http_responder.h"
+#include "src/net/socket_address.h"
+
+namespace acaciaspring::net {
+
+namespace {
+
+// How soon an abandoned answer is noticed; one recv() per open request and period.
+constexpr Duration kConnectionCheckPeriod = std::chrono::milliseconds(250);
+
+class ServerState;
+
+struct Handler {
+  h2o_handler_t base;
+  ServerState* server;
+};
+
+/// @brief The h2o objects of a server. They outlive the HttpServer until the last connection is
+/// closed, because h2o cannot close its connections at once.
+class ServerState : public std::enable_shared_from_this<ServerState> {
+ public:
+  ServerState(Loop& loop, HttpServerOptions options, HttpServer::Handler handler)
+      : loop_(loop), options_(std::move(options)), handler_(std::move(handler)) {}
+
+  void Open();
+  void StopAccepting();
+  void Close();
+  std::size_t open_requests() const { return responders_.size(); }
+  Address address() const { return address_; }
+
+ private:
+  struct Connection {
+    std::shared_ptr<ServerState> server;
+    h2o_socket_t* socket;
+  };
+  struct RequestLink {
+    std::shared_ptr<ServerState> server;
+    std::shared_ptr<H2oResponder> responder;
+  };
+
+  void Configure();
+  void OnConnection(int status);
+  void OnConnectionClosed(Connection* connection);
+  int OnRequest(h2o_req_t* request);
+  HttpRequest Convert(const h2o_req_t& request) const;
+  void CheckConnections();
+  void DisposeIfUnused();
+
+  Loop& loop_;
+  HttpServerOptions options_;
+  HttpServer::Handler handler_;
+  Address address_;
+  std::unique_ptr<uv_tcp_t> listener_;
+  h2o_globalconf_t config_{};
+  h2o_context_t context_{};
+  h2o_accept_ctx_t accept_{};
+  std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::set<std::shared_ptr<H2oResponder>> responders_;
+  Timer check_timer_;
+  bool accepting_ = true;
+  bool closing_ = false;
+  bool disposing_ = false;
+};
+
+void ServerState::Open() {
+  listener_ = std::make_unique<uv_tcp_t>();
+  uv_tcp_init(loop_.raw(), listener_.get());
+  listener_->data = this;
+  try {
+    Listen(*listener_, options_.listen, [](uv_stream_t* stream, int status) {
+      static_cast<ServerState*>(stream->data)->OnConnection(status);
+    });
+    address_ = BoundAddress(*listener_);
+  } catch (const Error&) {
+    CloseAndDelete(listener_.release());
+    throw;
+  }
+  Configure();
+  check_timer_ = loop_.Every(kConnectionCheckPeriod, [this] { CheckConnections(); });
+}
+
+void ServerState::Configure() {
+  const auto timeout_ms = static_cast<std::uint64_t>(
+      std::chrono::ceil<std::chrono::milliseconds>(options_.io_timeout).count());
+  // h2o keeps large bodies in a temporary file unless they are below the threshold.
+  h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
+  h2o_config_init(&config_);
+  config_.server_name = ToIovec("acaciaspring");
+  config_.max_request_entity_size = options_.max_body_bytes;
+  config_.http1.req_timeout = timeout_ms;
+  config_.http1.upgrade_to_http2 = 0;
+  h2o_hostconf_t* host = h2o_config_register_host(&config_, ToIovec("default"), 65535);
+  h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+  auto* handler = reinterpret_cast<Handler*>(h2o_create_handler(path, sizeof(Handler)));
+  handler->server = this;
+  handler->base.on_req = [](h2o_handler_t* self, h2o_req_t* request) {
+    return reinterpret_cast<Handler*>(self)->server->OnRequest(request);
+  };
+  h2o_context_init(&context_, loop_.raw(), &config_);
+  accept_.ctx = &context_;
+  accept_.hosts = config_.hosts;
+}
+
+void ServerState::OnConnection(int status) {
+  if (status < 0) {
+    LOG(WARNING) << "cannot accept a connection on " << address_.ToString() << ": "
+                 << uv_strerror(status);
+    return;
+  }
+  auto stream = std::make_unique<uv_tcp_t>();
+  uv_tcp_init(loop_.raw(), stream.get());
+  if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_.get()),
+                reinterpret_cast<uv_stream_t*>(stream.get())) != 0) {
+    CloseAndDelete(stream.release());
+    return;
+  }
+  uv_tcp_nodelay(stream.get(), 1);
+  h2o_socket_t* socket =
+      h2o_uv_socket_create(reinterpret_cast<uv_stream_t*>(stream.release()),
+                           [](uv_handle_t* closed) { delete reinterpret_cast<uv_tcp_t*>(closed); });
+  auto connection =
+      std::make_unique<Connection>(Connection{.server = shared_from_this(), .socket = socket});
+  socket->on_close.data = connection.get();
+  socket->on_close.cb = [](void* data) {
+    auto* closed = static_cast<Connection*>(data);
+    const std::shared_ptr<ServerState> server = closed->server;
+    server->OnConnectionClosed(closed);
+  };
+  connections_.emplace(connection.get(), std::move(connection));
+  h2o_accept(&accept_, socket);
+}
+
+void ServerState::OnConnectionClosed(Connection* connection) {
+  connections_.erase(connection);
+  DisposeIfUnused();
+}
+
+HttpRequest ServerState::Convert(const h2o_req_t& request) const {
+  HttpRequest result;
+  const std::string_view target = View(request.input.path);
+  const std::size_t query_at = std::min(request.input.query_at, target.size());
+  result.method = View(request.input.method);
+  result.path = target.substr(0, query_at);
+  if (query_at < target.size()) {
+    result.query = target.substr(query_at + 1);
+  }
+  result.headers.reserve(request.headers.size + 1);
+  result.headers.emplace_back("host", View(request.input.authority));
+  for (std::size_t i = 0; i < request.headers.size; ++i) {
+    const h2o_header_t& header = request.headers.entries[i];
+    result.headers.emplace_back(LowerCase(View(*header.name)), View(header.value));
+  }
+  if (request.entity.base != nullptr) {
+    result.body = View(request.entity);
+  }
+  return result;
+}
+
+int ServerState::OnRequest(h2o_req_t* request) {
+  auto responder = std::make_shared<H2oResponder>(loop_, request);
+  void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(RequestLink), [](void* data) {
+    auto* link = static_cast<RequestLink*>(data);
+    link->server->responders_.erase(link->responder);
+    link->responder->OnDisposed();
+    link->~RequestLink();
+  });
+  new (memory) RequestLink{.server = shared_from_this(), .responder = responder};
+  responders_.insert(responder);
+  if (!accepting_) {
+    request->http1_is_persistent = 0;
+  }
+  if (closing_) {
+    responder->Abandon();
+    return 0;
+  }
+  try {
+    handler_(Convert(*request), responder);
+  } catch (const std::exception& error) {
+    LOG(ERROR) << "request handler failed for " << View(request->input.path) << ": "
+               << error.what();
+    responder->Respond(500, {}, "");
+  }
+  return 0;
+}
+
+void ServerState::CheckConnections() {
+  const auto responders = responders_;
+  for (const auto& responder : responders) {
+    responder->CheckConnection(options_.io_timeout);
+  }
+}
+
+void ServerState::StopAccepting() {
+  accepting_ = false;
+  if (listener_ != nullptr) {
+    CloseAndDelete(listener_.release());
+  }
+}
+
+void ServerState::Close() {
+  StopAccepting();
+  closing_ = true;
+  check_timer_.Cancel();
+  const auto responders = responders_;
+  for (const auto& responder : responders) {
+    responder->Abandon();
+  }
+  for (const auto& [key, connection] : connections_) {
+    // h2o closes a connection when it reads its end.
+    shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
+  }
+  DisposeIfUnused();
+}
+
+void ServerState::DisposeIfUnused() {
+  if (!closing_ || disposing_ || !connections_.empty()) {
+    return;
+  }
+  disposing_ = true;
+  // h2o may still be using the context of the connection that it has just closed.
+  RunAtEndOfIteration(loop_.raw(), [self = shared_from_this()] {
+    h2o_context_dispose(&self->context_);
+    h2o_config_dispose(&self->config_);
+    ReleaseAfterClose(self->loop_.raw(), self);
+  });
+}
+
+}  // namespace
+
+struct HttpServer::Impl {
+  std::shared_ptr<ServerState> state;
+};
+
+HttpServer::HttpServer(Loop& loop, HttpServerOptions options, Handler handler)
+    : impl_(std::make_unique<Impl>()) {
+  impl_->state = std::make_shared<ServerState>(loop, std::move(options), std::move(handler));
+  impl_->state->Open();
+}
+
+HttpServer::~HttpServer() {
+  impl_->state->Close();
+}
+
+void HttpServer::StopAccepting() {
+  impl_->state->StopAccepting();
+}
+
+std::size_t HttpServer::open_requests() const {
+  return impl_->state->open_requests();
+}
+
+Address HttpServer::address() const {
+  return impl_->state->address();
+}
+
+}  // namespace acaciaspring::net
--- /dev/null
+++ b/src/net/loop_test.cc
@@ -0,0 +1,90 @@
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <optional>
+
+#include "acaciaspring/net.h"
+#include "src/net/test_support.h"
+
+namespace acaciaspring::net {
+
+BOOST_AUTO_TEST_SUITE(loop)
+
+// Guards against a timer that fires although its owner has cancelled or destroyed it.
+BOOST_AUTO_TEST_CASE(cancelled_timer_does_not_fire) {
+  Loop event_loop;
+  int fired = 0;
+  {
+    const Timer destroyed = event_loop.After(Duration(0), [&] { ++fired; });
+  }
+  Timer cancelled = event_loop.After(Duration(0), [&] { ++fired; });
+  cancelled.Cancel();
+  const Timer end = event_loop.After(std::chrono::milliseconds(5), [&] { event_loop.Stop(); });
+  event_loop.Run();
+  BOOST_TEST(fired == 0);
+}
+
+// Guards against use of a timer's state after its callback has destroyed the timer.
+BOOST_AUTO_TEST_CASE(timer_may_be_destroyed_by_its_own_callback) {
+  Loop event_loop;
+  int fired = 0;
+  std::optional<Timer> timer;
+  timer = event_loop.Every(std::chrono::milliseconds(1), [&] {
+    if (++fired == 3) {
+      timer.reset();
+      event_loop.Stop();
+    }
+  });
+  event_loop.Run();
+  BOOST_TEST(fired == 3);
+}
+
+// Guards against a timer that refers to a destroyed loop.
+BOOST_AUTO_TEST_CASE(timer_may_outlive_the_loop) {
+  std::optional<Timer> timer;
+  {
+    Loop event_loop;
+    timer = event_loop.After(std::chrono::hours(1), [] {});
+  }
+  BOOST_CHECK_NO_THROW(timer.reset());
+}
+
+// Guards against posted calls that run at once, and against an endless iteration when a posted call
+// posts another.
+BOOST_AUTO_TEST_CASE(posted_calls_run_in_order_from_the_loop) {
+  Loop event_loop;
+  std::vector<int> order;
+  event_loop.Post([&] {
+    order.push_back(1);
+    event_loop.Post([&] {
+      order.push_back(3);
+      event_loop.Stop();
+    });
+  });
+  event_loop.Post([&] { order.push_back(2); });
+  BOOST_TEST(order.empty());
+  event_loop.Run();
+  BOOST_TEST(order == (std::vector<int>{1, 2, 3}), boost::test_tools::per_element());
+}
+
+// Guards against a shutdown signal that is missed or kills the process.
+BOOST_AUTO_TEST_CASE(signal_reaches_its_callback) {
+  Loop event_loop;
+  int signals = 0;
+  event_loop.OnSignal(SIGUSR1, [&] { ++signals; });
+  event_loop.Post([] { std::raise(SIGUSR1); });
+  RunUntil(event_loop, [&] { return signals == 1; });
+  BOOST_TEST(signals == 1);
+}
+
+// Guards against addresses that a later connect would reject or misread.
+BOOST_AUTO_TEST_CASE(malformed_addresses_are_rejected) {
+  BOOST_TEST(ParseAddress("127.0.0.1:8080").ToString() == "127.0.0.1:8080");
+  for (const char* text : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536", "127.0.0.1:-1",
+                           "127.0.0.1:80x", "127.0.0:80", "localhost:80", "::1:80", ":80"}) {
+    BOOST_CHECK_THROW(ParseAddress(text), AddressError);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::net
--- /dev/null
+++ b/src/net/peer_stream.cc
@@ -0,0 +1,225 @@
+#include "src/net/peer_stream.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+#include "src/net/socket_address.h"
+
+namespace acaciaspring::net {
+
+namespace {
+
+// A connection that sends no nonce is closed: it may be a port scan, or a peer that hangs.
+constexpr Duration kHandshakeTimeout = std::chrono::seconds(5);
+// A peer that takes no data for so long is disconnected by the kernel, so that messages to a
+// vanished VM do not wait for the default of 15 minutes.
+constexpr unsigned kUnacknowledgedTimeoutMs = 10'000;
+constexpr unsigned kKeepAliveSeconds = 5;
+// Memory for a peer that does not read: enough for several of the largest messages.
+constexpr std::size_t kMaxPendingBytes = 8 * wire::kMaxFrameBytes;
+
+}  // namespace
+
+PeerStream::PeerStream(Loop& loop, Role role, std::string cluster_key, DropCounters& drops)
+    : loop_(loop),
+      role_(role),
+      cluster_key_(std::move(cluster_key)),
+      nonce_(wire::MakeNonce()),
+      reader_(drops) {}
+
+void PeerStream::Connect(const Address& address) {
+  const sockaddr_in name = ToSocketAddress(address);
+  uv_tcp_init(loop_.raw(), &socket_);
+  socket_.data = this;
+  connect_.data = this;
+  self_ = shared_from_this();
+  handshake_timer_ = loop_.After(kHandshakeTimeout, [this] { Close(); });
+  const auto on_connected = [](uv_connect_t* request, int status) {
+    auto* self = static_cast<PeerStream*>(request->data);
+    if (self->state_ == State::kClosed) {
+      return;
+    }
+    if (status < 0) {
+      self->Close();
+    } else {
+      self->StartHandshake();
+    }
+  };
+  if (uv_tcp_connect(&connect_, &socket_, reinterpret_cast<const sockaddr*>(&name), on_connected) !=
+      0) {
+    Close();
+  }
+}
+
+bool PeerStream::Accept(uv_stream_t* listener) {
+  uv_tcp_init(loop_.raw(), &socket_);
+  socket_.data = this;
+  self_ = shared_from_this();
+  if (uv_accept(listener, stream()) != 0) {
+    Abandon();
+    return false;
+  }
+  handshake_timer_ = loop_.After(kHandshakeTimeout, [this] { Close(); });
+  // The callbacks are set after this call; nothing is received before the next iteration.
+  StartHandshake();
+  return state_ != State::kClosed;
+}
+
+void PeerStream::StartHandshake() {
+  state_ = State::kHandshake;
+  uv_tcp_nodelay(&socket_, 1);
+  uv_tcp_keepalive(&socket_, 1, kKeepAliveSeconds);
+  uv_os_fd_t fd = -1;
+  if (uv_fileno(reinterpret_cast<uv_handle_t*>(&socket_), &fd) == 0) {
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedTimeoutMs,
+               sizeof(kUnacknowledgedTimeoutMs));
+  }
+  pending_.assign(nonce_.data(), nonce_.size());
+  Flush();
+  const auto allocate = [](uv_handle_t*, size_t, uv_buf_t* buffer) {
+    // Received data is consumed within the read callback, so all streams share one buffer.
+    thread_local std::array<char, 65536> shared{};
+    *buffer = uv_buf_init(shared.data(), shared.size());
+  };
+  const auto on_read = [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
+    static_cast<PeerStream*>(stream->data)->OnRead(size, buffer);
+  };
+  if (uv_read_start(stream(), allocate, on_read) != 0) {
+    Close();
+  }
+}
+
+void PeerStream::OnRead(ssize_t size, const uv_buf_t* buffer) {
+  const auto self = shared_from_this();
+  if (size < 0) {
+    Close();
+    return;
+  }
+  reader_.Append(std::string_view(buffer->base, static_cast<std::size_t>(size)));
+  if (state_ == State::kHandshake) {
+    ReceiveNonce();
+  }
+  if (state_ == State::kOpen) {
+    DeliverPayloads();
+  }
+}
+
+void PeerStream::ReceiveNonce() {
+  const auto peer_nonce = reader_.TakeNonce();
+  if (!peer_nonce) {
+    return;
+  }
+  const bool initiates = role_ == Role::kInitiator;
+  const wire::Nonce& initiator = initiates ? nonce_ : *peer_nonce;
+  const wire::Nonce& acceptor = initiates ? *peer_nonce : nonce_;
+  wire::FrameAuthenticator to_acceptor(cluster_key_, initiator, acceptor,
+                                       wire::Direction::kToAcceptor);
+  wire::FrameAuthenticator to_initiator(cluster_key_, initiator, acceptor,
+                                        wire::Direction::kToInitiator);
+  signer_ = initiates ? to_acceptor : to_initiator;
+  verifier_ = initiates ? to_initiator : to_acceptor;
+  state_ = State::kOpen;
+  handshake_timer_.Cancel();
+  queued_bytes_ = 0;
+  for (const std::string& payload : std::exchange(queued_, {})) {
+    Send(payload);
+  }
+  if (callbacks_.on_open) {
+    callbacks_.on_open();
+  }
+}
+
+void PeerStream::DeliverPayloads() {
+  while (state_ == State::kOpen) {
+    const auto payload = reader_.TakePayload(*verifier_);
+    if (!payload) {
+      break;
+    }
+    if (callbacks_.on_message) {
+      callbacks_.on_message(*payload);
+    }
+  }
+  if (reader_.broken()) {
+    Close();
+  }
+}
+
+void PeerStream::Send(std::string_view payload) {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (payload.size() > wire::kMaxFrameBytes) {
+    throw MessageTooLargeError("message of " + std::to_string(payload.size()) + " bytes");
+  }
+  if (pending_bytes() > kMaxPendingBytes) {
+    Close();
+    return;
+  }
+  if (!signer_) {
+    queued_bytes_ += payload.size();
+    queued_.emplace_back(payload);
+    return;
+  }
+  AppendFrame(pending_, *signer_, payload);
+  Flush();
+}
+
+void PeerStream::Flush() {
+  if (writing_ || pending_.empty()) {
+    return;
+  }
+  sending_ = std::exchange(pending_, {});
+  uv_buf_t buffer = uv_buf_init(sending_.data(), static_cast<unsigned>(sending_.size()));
+  write_.data = this;
+  writing_ = true;
+  const auto on_written = [](uv_write_t* request, int status) {
+    static_cast<PeerStream*>(request->data)->OnWritten(status);
+  };
+  if (uv_write(&write_, stream(), &buffer, 1, on_written) != 0) {
+    writing_ = false;
+    Close();
+  }
+}
+
+void PeerStream::OnWritten(int status) {
+  writing_ = false;
+  if (state_ == State::kClosed) {
+    return;
+  }
+  if (status < 0) {
+    Close();
+    return;
+  }
+  Flush();
+}
+
+void PeerStream::Close() {
+  if (state_ == State::kClosed) {
+    return;
+  }
+  state_ = State::kClosed;
+  handshake_timer_.Cancel();
+  pending_.clear();
+  queued_.clear();
+  queued_bytes_ = 0;
+  uv_close(reinterpret_cast<uv_handle_t*>(&socket_), [](uv_handle_t* handle) {
+    const std::shared_ptr<PeerStream> self =
+        std::move(static_cast<PeerStream*>(handle->data)->self_);
+    // The callbacks may own the connection's handle.
+    const PeerCallbacks callbacks = std::exchange(self->callbacks_, {});
+    if (callbacks.on_closed) {
+      callbacks.on_closed();
+    }
+  });
+}
+
+void PeerStream::Abandon() {
+  // The callbacks may be running; they are released when the socket is closed.
+  callbacks_.on_closed = nullptr;
+  Close();
+}
+
+}  // namespace acaciaspring::net
--- /dev/null
+++ b/src/net/test_support.h
@@ -0,0 +1,168 @@
+#ifndef ACACIASPRING_SRC_NET_TEST_SUPPORT_H_
+#define ACACIASPRING_SRC_NET_TEST_SUPPORT_H_
+
+#include <uv.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "acaciaspring/net.h"
+#include "src/net/socket_address.h"
+
+namespace acaciaspring::net {
+
+inline const Address kAnyLoopbackPort{.ip = "127.0.0.1", .port = 0};
+
+/// @brief Runs the loop until the condition holds; ctest's timeout ends a test that waits in vain.
+inline void RunUntil(Loop& loop, const std::function<bool()>& condition) {
+  const Timer poll = loop.Every(std::chrono::milliseconds(1), [&] {
+    if (condition()) {
+      loop.Stop();
+    }
+  });
+  while (!condition()) {
+    loop.Run();
+  }
+}
+
+/// @brief A TCP connection that sends and receives bytes without any protocol.
+class RawConnection {
+ public:
+  explicit RawConnection(Loop& loop) : socket_(std::make_unique<Socket>()) {
+    uv_tcp_init(loop.raw(), &socket_->handle);
+    socket_->handle.data = socket_.get();
+  }
+  RawConnection(Loop& loop, const Address& server) : RawConnection(loop) {
+    const sockaddr_in name = ToSocketAddress(server);
+    connect_ = std::make_unique<uv_connect_t>();
+    connect_->data = socket_.get();
+    uv_tcp_connect(connect_.get(), &socket_->handle, reinterpret_cast<const sockaddr*>(&name),
+                   [](uv_connect_t* request, int status) {
+                     if (status == 0) {
+                       static_cast<Socket*>(request->data)->Start();
+                     }
+                   });
+  }
+  RawConnection(const RawConnection&) = delete;
+  RawConnection& operator=(const RawConnection&) = delete;
+  ~RawConnection() {
+    Close();
+    socket_->connect = std::move(connect_);
+    uv_close(reinterpret_cast<uv_handle_t*>(&socket_.release()->handle),
+             [](uv_handle_t* handle) { delete static_cast<Socket*>(handle->data); });
+  }
+
+  void Accept(uv_stream_t* listener) {
+    uv_accept(listener, socket_->stream());
+    socket_->Start();
+  }
+  /// @brief Sends at once, or after the connection is established.
+  void Send(std::string_view data) {
+    socket_->unsent.append(data);
+    if (socket_->connected) {
+      socket_->SendNow();
+    }
+  }
+  /// @brief Stops the connection in both directions; with `reset`, by a TCP reset.
+  void Close(bool reset = false) {
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&socket_->handle), &fd) != 0) {
+      return;
+    }
+    if (reset) {
+      // Connecting a TCP socket to "unspecified" sends a reset on Linux.
+      const sockaddr unspecified{.sa_family = AF_UNSPEC, .sa_data = {}};
+      connect(fd, &unspecified, sizeof(unspecified));
+    } else {
+      shutdown(fd, SHUT_RDWR);
+    }
+  }
+  const std::string& received() const { return socket_->received; }
+  void ClearReceived() { socket_->received.clear(); }
+  /// @brief True when the other side has ended the connection.
+  bool ended() const { return socket_->ended; }
+  bool connected() const { return socket_->connected; }
+
+ private:
+  struct Socket {
+    uv_tcp_t handle{};
+    std::unique_ptr<uv_connect_t> connect;
+    std::string unsent;
+    std::string received;
+    std::array<char, 65536> buffer{};
+    bool connected = false;
+    bool ended = false;
+
+    uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle); }
+    void Start() {
+      connected = true;
+      SendNow();
+      uv_read_start(
+          stream(),
+          [](uv_handle_t* reading, size_t, uv_buf_t* out) {
+            auto& target = static_cast<Socket*>(reading->data)->buffer;
+            *out = uv_buf_init(target.data(), target.size());
+          },
+          [](uv_stream_t* reading, ssize_t size, const uv_buf_t* data) {
+            auto* self = static_cast<Socket*>(reading->data);
+            if (size < 0) {
+              self->ended = true;
+              uv_read_stop(reading);
+            } else {
+              self->received.append(data->base, static_cast<std::size_t>(size));
+            }
+          });
+    }
+    void SendNow() {
+      if (unsent.empty()) {
+        return;
+      }
+      struct Write {
+        uv_write_t request{};
+        std::string data;
+      };
+      auto* write = new Write{.request = {}, .data = std::exchange(unsent, {})};
+      write->request.data = write;
+      const uv_buf_t bytes =
+          uv_buf_init(write->data.data(), static_cast<unsigned>(write->data.size()));
+      uv_write(&write->request, stream(), &bytes, 1,
+               [](uv_write_t* done, int) { delete static_cast<Write*>(done->data); });
+    }
+  };
+
+  std::unique_ptr<Socket> socket_;
+  std::unique_ptr<uv_connect_t> connect_;
+};
+
+/// @brief A listener that accepts connections without any protocol.
+class RawServer {
+ public:
+  explicit RawServer(Loop& loop) : loop_(loop), listener_(std::make_unique<uv_tcp_t>()) {
+    uv_tcp_init(loop.raw(), listener_.get());
+    listener_->data = this;
+    Listen(*listener_, kAnyLoopbackPort, [](uv_stream_t* stream, int) {
+      auto* self = static_cast<RawServer*>(stream->data);
+      self->connections_.push_back(std::make_unique<RawConnection>(self->loop_));
+      self->connections_.back()->Accept(stream);
+    });
+  }
+  RawServer(const RawServer&) = delete;
+  RawServer& operator=(const RawServer&) = delete;
+  ~RawServer() { CloseAndDelete(listener_.release()); }
+
+  Address address() const { return BoundAddress(*listener_); }
+  std::vector<std::unique_ptr<RawConnection>>& connections() { return connections_; }
+
+ private:
+  Loop& loop_;
+  std::unique_ptr<uv_tcp_t> listener_;
+  std::vector<std::unique_ptr<RawConnection>> connections_;
+};
+
+}  // namespace acaciaspring::net
+
+#endif  // ACACIASPRING_SRC_NET_TEST_SUPPORT_H_
