Fix the acceptance of an empty answer and cut streams one step later

An answer without a token passed the check when the stream said "length": the limit was taken from the received word count. A valid answer has at least one word, so the limit is at least 1. The cut of a stream dropped the tokens of the same loop iteration, which were still queued; it now follows in the next step. A damaged answer is counted once instead of in every later turn.

--- a/fakes/engine_streams.cc
+++ b/fakes/engine_streams.cc
@@ -117,6 +117,7 @@
   }
   stream.responder->Write(data);
   if (cut_after > 0 && stream.sent >= cut_after) {
+    // The cut follows in the next step, when these tokens have left.
     to_cut_.push_back(id);
   }
 }
@@ -182,10 +183,10 @@
   if (service_.faults().On("freeze")) {
     return;
   }
-  batch_.Advance(elapsed);
   CutStreams();
+  batch_.Advance(elapsed);
   service_.CountMaximum("max_batch", batch_.max_batch());
-  if (batch_.idle()) {
+  if (batch_.idle() && to_cut_.empty()) {
     stepping_ = false;
     step_timer_.Cancel();
   }
--- a/src/load/answer_collector.cc
+++ b/src/load/answer_collector.cc
@@ -63,6 +63,17 @@
   }
 }
 
+std::string AnswerCollector::Expected(const std::vector<fakes::Message>& messages,
+                                      std::uint64_t max_tokens) const {
+  // The scheduler may lower the cap to the remaining budget and then says so. A prefix of the
+  // answer cannot pass for such a short answer, because its last word differs.
+  const std::uint64_t limit =
+      finish_reason_ == "length"
+          ? std::clamp<std::uint64_t>(fakes::CountWords(content_), 1, max_tokens)
+          : max_tokens;
+  return fakes::JoinWords(fakes::AnswerWords(messages, limit));
+}
+
 std::string AnswerCollector::FindDifference(const std::vector<fakes::Message>& messages,
                                             std::uint64_t max_tokens) const {
   if (!done_) {
@@ -71,11 +82,7 @@
   if (ids_out_of_order_ > 0 || malformed_ > 0) {
     return "events are malformed or out of order";
   }
-  // The scheduler may lower the cap to the remaining budget and then says so. A prefix of the
-  // answer cannot pass for such a short answer, because its last word differs.
-  const std::uint64_t limit =
-      finish_reason_ == "length" ? std::min(max_tokens, fakes::CountWords(content_)) : max_tokens;
-  const std::string expected = fakes::JoinWords(fakes::AnswerWords(messages, limit));
+  const std::string expected = Expected(messages, max_tokens);
   if (content_ == expected) {
     return {};
   }
--- a/src/load/answer_collector.h
+++ b/src/load/answer_collector.h
@@ -32,6 +32,8 @@
   /// @brief Number of events whose id was not above the one before.
   std::uint64_t ids_out_of_order() const { return ids_out_of_order_; }
 
+  /// @brief The answer that the engine gives to these messages.
+  std::string Expected(const std::vector<fakes::Message>& messages, std::uint64_t max_tokens) const;
   /// @brief What is wrong with the answer to these messages, or empty when it is the expected one.
   std::string FindDifference(const std::vector<fakes::Message>& messages,
                              std::uint64_t max_tokens) const;
--- a/src/load/history_check.cc
+++ b/src/load/history_check.cc
@@ -11,7 +11,8 @@
   if (!uncertain.empty() && stored.size() > expected.size()) {
     expected.insert(expected.end(), uncertain.begin(), uncertain.end());
     // The answer may be shorter than the cap when the budget lowered it.
-    const std::uint64_t words = std::min(max_tokens, fakes::CountWords(stored.back().content));
+    const std::uint64_t words =
+        std::clamp<std::uint64_t>(fakes::CountWords(stored.back().content), 1, max_tokens);
     expected.push_back({"assistant", fakes::JoinWords(fakes::AnswerWords(expected, words))});
   }
   if (stored.size() != expected.size()) {
--- a/src/load/history_check_test.cc
+++ b/src/load/history_check_test.cc
@@ -36,6 +36,8 @@
   BOOST_TEST(FindHistoryDifference(stored, kFirst, kNext, 64) == "");
   stored.back().content += " x";
   BOOST_TEST(FindHistoryDifference(stored, kFirst, kNext, 64) != "");
+  stored.back().content = "";
+  BOOST_TEST(FindHistoryDifference(stored, kFirst, kNext, 64) != "");
   stored.pop_back();
   BOOST_TEST(FindHistoryDifference(stored, kFirst, kNext, 64) != "");
 }
--- a/src/load/load_run_test.cc
+++ b/src/load/load_run_test.cc
@@ -1,5 +1,7 @@
 #include "src/load/load_run.h"
 
+#include <glog/logging.h>
+
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <optional>
@@ -31,7 +33,8 @@
 class StubSystem {
  public:
   StubSystem(net::Loop& loop, const StubFaults& faults)
-      : faults_(faults),
+      : loop_(loop),
+        faults_(faults),
         server_(loop,
                 {.listen = net::ParseAddress("127.0.0.1:0")},
                 [this](const net::HttpRequest& request, const net::HttpResponderPtr& responder) {
@@ -106,7 +109,9 @@
     for (std::size_t index = last_id.empty() ? 0 : std::stoul(last_id); index < words.size();
          ++index) {
       if (cut && index == 3) {
-        fakes::CloseConnection(responder);
+        // Later, so that the tokens before the cut have left.
+        timers_.push_back(loop_.After(std::chrono::milliseconds(5),
+                                      [responder] { fakes::CloseConnection(responder); }));
         return;
       }
       if (faults_.lose_token && index == 1) {
@@ -159,7 +164,9 @@
     fakes::AnswerJson(responder, 200, body);
   }
 
+  net::Loop& loop_;
   StubFaults faults_;
+  std::vector<net::Timer> timers_;
   std::set<std::string> seen_;
   std::map<std::string, std::vector<fakes::Message>> histories_;
   std::map<std::string, std::vector<std::string>> answers_;
@@ -173,6 +180,8 @@
 };
 
 RunResult RunLoad(const StubFaults& faults) {
+  // The faults below make the tool log every difference.
+  FLAGS_minloglevel = google::GLOG_FATAL;
   LoadOptions options;
   options.organisation_keys = {"key"};
   options.programs = 12;
@@ -250,6 +259,7 @@
   BOOST_TEST(lost.answers_incomplete > 0U);
   BOOST_TEST(!lost.correct());
   const Report shortened = RunLoad({.shorten_history = true}).report;
+  BOOST_TEST(lost.histories_wrong == 0U);
   BOOST_TEST(shortened.answers_incomplete == 0U);
   BOOST_TEST(shortened.histories_wrong > 0U);
   BOOST_TEST(!shortened.correct());
--- a/src/load/program_runner.cc
+++ b/src/load/program_runner.cc
@@ -158,7 +158,8 @@
     failed_ = true;
     LOG(ERROR) << "answer of turn " << turn_ << " of program " << id_ << ": " << difference;
   }
-  last_answer_ = result.answer.content();
+  // With the expected answer, one damaged answer is not counted again in later turns.
+  last_answer_ = result.answer.Expected(history_, context_.options.max_tokens);
   history_.push_back({"assistant", last_answer_});
 }
 
--- a/src/load/retrying_call.cc
+++ b/src/load/retrying_call.cc
@@ -91,8 +91,6 @@
 }
 
 void RetryingCall::OnAttemptDone(const net::HttpResult& result) {
-  // The exchange may still be in use below this callback, so it is destroyed later.
-  context_.loop.Post([finished = std::move(call_)] {});
   if (!on_done_) {
     return;
   }
