Replace the HTTP client of h2o by http_parser on libuv

Cause: the client of h2o 2.2.5 aborts the process (assertion in on_error_before_head) on an answer with an invalid Content-Length, and reports a chunked answer whose connection ends between two chunks as complete. Change: the client has its own connections and pool on libuv and parses answers with http_parser (Debian package libhttp-parser-dev). The server stays on h2o.

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -222,7 +222,7 @@
   Duration pool_idle = std::chrono::seconds(3);
 };
 
-/// @brief HTTP/1.1 client (h2o on the loop) with pooled connections. Destroying it cancels its
+/// @brief HTTP/1.1 client with pooled connections. Destroying it cancels its
 /// calls.
 class HttpClient {
  public:
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -1,7 +1,7 @@
 # Shared by the scripts: installs the Debian packages and builds. Sourced with the repository root as
 # the working directory.
 
-readonly PACKAGES="g++ cmake ninja-build ccache clang-format clang-tidy libuv1-dev libh2o-dev libcereal-dev
+readonly PACKAGES="g++ cmake ninja-build ccache clang-format clang-tidy libuv1-dev libh2o-dev libhttp-parser-dev libcereal-dev
   libgoogle-glog-dev libboost-dev libboost-program-options-dev libboost-test-dev libjsoncpp-dev libxxhash-dev
   librapidcheck-dev libbenchmark-dev libssl-dev zlib1g-dev curl"
 
--- a/src/net/h2o.h
+++ b/src/net/h2o.h
@@ -2,8 +2,6 @@
 #define ACACIASPRING_SRC_NET_H2O_H_
 
 #include <h2o.h>
-#include <h2o/http1client.h>
-#include <h2o/socketpool.h>
 
 #include <string_view>
 
--- /dev/null
+++ b/src/net/http_connection.cc
@@ -0,0 +1,237 @@
+#include "src/net/http_connection.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <utility>
+
+#include "src/net/http_message.h"
+#include "src/net/socket_address.h"
+
+namespace acaciaspring::net {
+
+namespace {
+
+HttpConnection& FromParser(http_parser* parser) {
+  return *static_cast<HttpConnection*>(parser->data);
+}
+
+bool IsInformational(const http_parser& parser) {
+  return parser.status_code >= 100 && parser.status_code < 200;
+}
+
+}  // namespace
+
+void HttpConnection::Connect(const Address& server) {
+  const sockaddr_in name = ToSocketAddress(server);
+  uv_tcp_init(loop_.raw(), &socket_);
+  socket_.data = this;
+  connect_.data = this;
+  self_ = shared_from_this();
+  closed_ = false;
+  const auto on_connected = [](uv_connect_t* request, int status) {
+    const auto self = static_cast<HttpConnection*>(request->data)->shared_from_this();
+    if (self->closed_) {
+      return;
+    }
+    if (status < 0) {
+      self->Break();
+      return;
+    }
+    uv_tcp_nodelay(&self->socket_, 1);
+    self->StartReading();
+  };
+  if (uv_tcp_connect(&connect_, &socket_, reinterpret_cast<const sockaddr*>(&name), on_connected) !=
+      0) {
+    Break();
+  }
+}
+
+void HttpConnection::StartReading() {
+  const auto allocate = [](uv_handle_t*, size_t, uv_buf_t* buffer) {
+    // Received data is consumed within the read callback, so all connections share one buffer.
+    thread_local std::array<char, 65536> shared{};
+    *buffer = uv_buf_init(shared.data(), shared.size());
+  };
+  const auto on_read = [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
+    static_cast<HttpConnection*>(stream->data)->OnRead(size, buffer);
+  };
+  if (uv_read_start(stream(), allocate, on_read) != 0) {
+    Break();
+    return;
+  }
+  if (events_ != nullptr) {
+    events_->OnConnected();
+  }
+}
+
+void HttpConnection::Send(std::string head, std::string body, bool expects_body) {
+  head_ = std::move(head);
+  body_ = std::move(body);
+  expects_body_ = expects_body;
+  in_exchange_ = true;
+  complete_ = false;
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  headers_.clear();
+  header_name_.clear();
+  header_value_.clear();
+  const std::array<uv_buf_t, 2> buffers = {
+      uv_buf_init(head_.data(), static_cast<unsigned>(head_.size())),
+      uv_buf_init(body_.data(), static_cast<unsigned>(body_.size()))};
+  write_.data = this;
+  writing_ = true;
+  // After a failed write the answer may still be there to read: a server can refuse a request
+  // before it has read all of it. Otherwise the read fails as well.
+  const auto on_written = [](uv_write_t* request, int) {
+    static_cast<HttpConnection*>(request->data)->writing_ = false;
+  };
+  if (uv_write(&write_, stream(), buffers.data(), body_.empty() ? 1 : 2, on_written) != 0) {
+    writing_ = false;
+    Break();
+  }
+}
+
+void HttpConnection::OnRead(ssize_t size, const uv_buf_t* buffer) {
+  const auto self = shared_from_this();
+  if (size == 0) {
+    return;
+  }
+  if (size < 0 || !in_exchange_) {
+    Break();
+    return;
+  }
+  if (events_ != nullptr) {
+    events_->OnReceived();
+  }
+  Parse(std::string_view(buffer->base, static_cast<std::size_t>(size)));
+}
+
+void HttpConnection::Parse(std::string_view data) {
+  const std::size_t parsed =
+      http_parser_execute(&parser_, &ParserSettings(), data.data(), data.size());
+  if (closed_) {
+    return;
+  }
+  if (complete_) {
+    in_exchange_ = false;
+    const bool reusable = keep_alive_ && parsed == data.size() && !writing_;
+    Events* const events = std::exchange(events_, nullptr);
+    if (!reusable) {
+      Close();
+    }
+    if (events != nullptr) {
+      events->OnComplete(reusable);
+    }
+    return;
+  }
+  if (parsed != data.size() || parser_.upgrade != 0U || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+    Break();
+  }
+}
+
+const http_parser_settings& HttpConnection::ParserSettings() {
+  static const http_parser_settings settings = [] {
+    http_parser_settings made{};
+    made.on_header_field = [](http_parser* parser, const char* data, size_t size) {
+      HttpConnection& self = FromParser(parser);
+      if (!self.header_value_.empty()) {
+        self.StoreHeader();
+      }
+      self.header_name_.append(data, size);
+      return 0;
+    };
+    made.on_header_value = [](http_parser* parser, const char* data, size_t size) {
+      FromParser(parser).header_value_.append(data, size);
+      return 0;
+    };
+    made.on_headers_complete = [](http_parser* parser) {
+      return FromParser(parser).OnHeadersComplete();
+    };
+    made.on_body = [](http_parser* parser, const char* data, size_t size) {
+      return FromParser(parser).OnBody(std::string_view(data, size));
+    };
+    made.on_message_complete = [](http_parser* parser) {
+      return FromParser(parser).OnMessageComplete();
+    };
+    return made;
+  }();
+  return settings;
+}
+
+void HttpConnection::StoreHeader() {
+  headers_.emplace_back(LowerCase(header_name_), std::move(header_value_));
+  header_name_.clear();
+  header_value_.clear();
+}
+
+int HttpConnection::OnHeadersComplete() {
+  constexpr int kNoBody = 1;
+  constexpr int kStop = -1;
+  if (!header_name_.empty()) {
+    StoreHeader();
+  }
+  if (IsInformational(parser_)) {
+    headers_.clear();
+    return 0;
+  }
+  if (events_ != nullptr) {
+    events_->OnHead(static_cast<int>(parser_.status_code), headers_);
+  }
+  if (closed_) {
+    return kStop;
+  }
+  return expects_body_ ? 0 : kNoBody;
+}
+
+int HttpConnection::OnBody(std::string_view data) {
+  if (events_ != nullptr) {
+    events_->OnData(data);
+  }
+  return closed_ ? 1 : 0;
+}
+
+int HttpConnection::OnMessageComplete() {
+  if (IsInformational(parser_)) {
+    return 0;
+  }
+  complete_ = true;
+  keep_alive_ = http_should_keep_alive(&parser_) != 0;
+  // What follows belongs to no request.
+  http_parser_pause(&parser_, 1);
+  return 0;
+}
+
+void HttpConnection::Break() {
+  Events* const events = std::exchange(events_, nullptr);
+  Close();
+  if (events != nullptr) {
+    events->OnBroken();
+  }
+}
+
+void HttpConnection::Close() {
+  events_ = nullptr;
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  uv_close(reinterpret_cast<uv_handle_t*>(&socket_), [](uv_handle_t* handle) {
+    const std::shared_ptr<HttpConnection> last =
+        std::move(static_cast<HttpConnection*>(handle->data)->self_);
+  });
+}
+
+bool HttpConnection::IsUsable() {
+  uv_os_fd_t fd = -1;
+  if (closed_ || uv_fileno(reinterpret_cast<uv_handle_t*>(&socket_), &fd) != 0) {
+    return false;
+  }
+  // The end of the connection may have arrived without the loop having seen it.
+  char byte = 0;
+  const ssize_t received = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EINTR);
+}
+
+}  // namespace acaciaspring::net
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -1,18 +1,16 @@
 #include "src/net/http_exchange.h"
 
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <utility>
 
 #include "src/net/http_message.h"
+#include "src/net/socket_address.h"
 
 namespace acaciaspring::net {
 
 namespace {
 
-std::string MakeHead(const HttpClientRequest& request, bool keep_alive) {
+std::string MakeHead(const HttpClientRequest& request) {
   std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
   if (FindHeader(request.headers, "host").empty()) {
     head += "host: " + request.server.ToString() + "\r\n";
@@ -25,22 +23,23 @@
   if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
     head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
   }
-  head += keep_alive ? "connection: keep-alive\r\n\r\n" : "connection: close\r\n\r\n";
-  return head;
-}
-
-HttpExchange& FromClient(h2o_http1client_t* client) {
-  return *static_cast<HttpExchange*>(client->data);
-}
-
-bool IsEndOfStream(const char* error) {
-  return error == h2o_http1client_error_is_eos;
+  return head + "connection: keep-alive\r\n\r\n";
 }
 
 bool HasNoSpace(std::string_view text) {
   return !text.empty() && text.find_first_of(" \t") == std::string_view::npos;
 }
 
+/// @brief True when method, target and headers can be sent as they are.
+bool IsSendable(const HttpClientRequest& request) {
+  return HasNoSpace(request.method) && IsHeaderText(request.method) && HasNoSpace(request.target) &&
+         IsHeaderText(request.target) &&
+         std::all_of(request.headers.begin(), request.headers.end(), [](const auto& header) {
+           return HasNoSpace(header.first) && IsHeaderText(header.first) &&
+                  header.first.find(':') == std::string::npos && IsHeaderText(header.second);
+         });
+}
+
 }  // namespace
 
 HttpExchange::HttpExchange(Loop& loop,
@@ -56,132 +55,81 @@
   }
 }
 
-bool HttpExchange::IsSendable(const HttpClientRequest& request) {
-  return HasNoSpace(request.method) && IsHeaderText(request.method) && HasNoSpace(request.target) &&
-         IsHeaderText(request.target) &&
-         std::all_of(request.headers.begin(), request.headers.end(), [](const auto& header) {
-           return HasNoSpace(header.first) && IsHeaderText(header.first) &&
-                  header.first.find(':') == std::string::npos && IsHeaderText(header.second);
-         });
-}
-
-void HttpExchange::Start(h2o_http1client_ctx_t& context, h2o_socketpool_t& pool, bool keep_alive) {
-  head_ = MakeHead(request_, keep_alive);
+void HttpExchange::Start(const std::shared_ptr<HttpPool>& pool) {
+  ToSocketAddress(request_.server);
+  if (!IsSendable(request_)) {
+    Finish(HttpNotSent{});
+    return;
+  }
+  pool_ = pool;
   last_activity_ = loop_.Now();
   ArmTimer(request_.io_timeout);
-  // The connection can be ready within the call, and the exchange can have failed at its end.
-  const auto self = shared_from_this();
-  h2o_http1client_t* client = nullptr;
-  in_callback_ = true;
-  h2o_http1client_connect_with_pool(&client, this, &context, &pool, OnConnect);
-  in_callback_ = false;
-  if (!finished_) {
-    client_ = client;
+  connection_ = pool->Take(request_.server);
+  if (connection_ != nullptr) {
+    connection_->SetEvents(this);
+    OnConnected();
+    return;
   }
+  connection_ = std::make_shared<HttpConnection>(loop_);
+  connection_->SetEvents(this);
+  connection_->Connect(request_.server);
 }
 
-h2o_http1client_head_cb HttpExchange::OnConnect(h2o_http1client_t* client,
-                                                const char* error,
-                                                h2o_iovec_t** buffers,
-                                                size_t* buffer_count,
-                                                int* method_is_head) {
-  HttpExchange& self = FromClient(client);
-  if (error != nullptr) {
-    self.client_ = nullptr;
-    self.Finish(HttpNotSent{});
-    return nullptr;
-  }
-  const int enabled = 1;
-  setsockopt(h2o_socket_get_fd(client->sock), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
-  self.sent_ = true;
-  self.last_activity_ = self.loop_.Now();
-  self.buffers_ = {ToIovec(self.head_), ToIovec(self.request_.body)};
-  *buffers = self.buffers_.data();
-  *buffer_count = self.request_.body.empty() ? 1 : 2;
-  *method_is_head = self.request_.method == "HEAD" ? 1 : 0;
-  return OnHead;
+void HttpExchange::OnConnected() {
+  last_activity_ = loop_.Now();
+  sent_ = true;
+  std::string head = MakeHead(request_);
+  connection_->Send(std::move(head), std::move(request_.body), request_.method != "HEAD");
 }
 
-h2o_http1client_body_cb HttpExchange::OnHead(h2o_http1client_t* client,
-                                             const char* error,
-                                             int /*minor_version*/,
-                                             int status,
-                                             h2o_iovec_t /*message*/,
-                                             h2o_header_t* headers,
-                                             size_t header_count,
-                                             int /*head_size*/) {
-  const auto self = FromClient(client).shared_from_this();
-  Headers converted;
-  converted.reserve(header_count);
-  for (size_t i = 0; i < header_count; ++i) {
-    converted.emplace_back(LowerCase(View(*headers[i].name)), View(headers[i].value));
-  }
-  self->in_callback_ = true;
-  const h2o_http1client_body_cb next = self->ReceiveHead(error, status, std::move(converted));
-  self->in_callback_ = false;
-  if (self->cancelled_) {
-    self->client_ = nullptr;
-    self->ReleaseCallbacks();
-    return nullptr;
-  }
-  return next;
+void HttpExchange::OnReceived() {
+  last_activity_ = loop_.Now();
 }
 
-h2o_http1client_body_cb HttpExchange::ReceiveHead(const char* error, int status, Headers headers) {
-  last_activity_ = loop_.Now();
-  if (error != nullptr && !IsEndOfStream(error)) {
-    client_ = nullptr;
-    Finish(HttpInterrupted{});
-    return nullptr;
-  }
+void HttpExchange::OnHead(int status, const Headers& headers) {
+  const auto self = shared_from_this();
   status_ = status;
-  ends_with_connection_ = FindHeader(headers, "content-length").empty() &&
-                          LowerCase(FindHeader(headers, "transfer-encoding")) != "chunked";
   if (callbacks_.on_head) {
+    in_callback_ = true;
     callbacks_.on_head(status, headers);
+    in_callback_ = false;
+    if (ended_) {
+      ReleaseCallbacks();
+    }
   }
-  if (cancelled_) {
-    return nullptr;
-  }
-  if (IsEndOfStream(error)) {
-    client_ = nullptr;
-    Finish(HttpFinished{.status = status_});
-    return nullptr;
-  }
-  return OnBody;
 }
 
-int HttpExchange::OnBody(h2o_http1client_t* client, const char* error) {
-  const auto self = FromClient(client).shared_from_this();
-  self->last_activity_ = self->loop_.Now();
-  self->in_callback_ = true;
-  if (error == nullptr || IsEndOfStream(error)) {
-    self->DeliverBody(&client->sock->input);
-  }
-  self->in_callback_ = false;
-  if (self->cancelled_) {
-    self->client_ = nullptr;
-    self->ReleaseCallbacks();
-    return 1;
-  }
-  if (error == nullptr) {
-    return 0;
+void HttpExchange::OnData(std::string_view data) {
+  const auto self = shared_from_this();
+  if (callbacks_.on_data) {
+    in_callback_ = true;
+    callbacks_.on_data(data);
+    in_callback_ = false;
+    if (ended_) {
+      ReleaseCallbacks();
+    }
   }
-  self->client_ = nullptr;
-  if (IsEndOfStream(error) && !self->ends_with_connection_) {
-    self->Finish(HttpFinished{.status = self->status_});
-  } else {
-    self->Finish(HttpInterrupted{});
+}
+
+void HttpExchange::OnComplete(bool reusable) {
+  const auto connection = std::exchange(connection_, nullptr);
+  if (reusable) {
+    if (const auto pool = pool_.lock()) {
+      pool->Return(request_.server, connection);
+    } else {
+      connection->Close();
+    }
   }
-  return 0;
+  Finish(HttpFinished{.status = status_});
 }
 
-void HttpExchange::DeliverBody(h2o_buffer_t** input) {
-  const std::size_t size = (*input)->size;
-  if (size > 0 && callbacks_.on_data) {
-    callbacks_.on_data(std::string_view((*input)->bytes, size));
+void HttpExchange::OnBroken() {
+  connection_.reset();
+  if (sent_) {
+    Finish(HttpInterrupted{});
+  } else {
+    Finish(HttpNotSent{});
   }
-  h2o_buffer_consume(input, size);
 }
 
 void HttpExchange::ArmTimer(Duration delay) {
@@ -189,15 +137,14 @@
 }
 
 void HttpExchange::OnTimer() {
-  const auto self = shared_from_this();
+  // The timer is not restarted with each received byte; it finds out here how old the last is.
   const Duration silence = loop_.Now() - last_activity_;
   if (silence < request_.io_timeout) {
     ArmTimer(request_.io_timeout - silence);
     return;
   }
-  if (client_ != nullptr) {
-    h2o_http1client_cancel(std::exchange(client_, nullptr));
-  }
+  connection_->Close();
+  connection_.reset();
   if (sent_) {
     Finish(HttpInterrupted{.timed_out = true});
   } else {
@@ -206,22 +153,19 @@
 }
 
 void HttpExchange::Finish(const HttpResult& result) {
-  if (finished_ || cancelled_) {
-    return;
-  }
   finished_ = true;
   result_ = result;
   timer_.Cancel();
   // Called from the loop, so that on_done is never called from within Send and may destroy the
-  // client, and so that the connection is back in the pool before the next request is sent.
+  // client.
   loop_.Post([self = shared_from_this()] { self->Report(); });
 }
 
 void HttpExchange::Report() {
-  if (cancelled_) {
+  if (ended_) {
     return;
   }
-  cancelled_ = true;
+  ended_ = true;
   const auto on_done = std::move(callbacks_.on_done);
   ReleaseCallbacks();
   if (on_done) {
@@ -230,19 +174,19 @@
 }
 
 void HttpExchange::Cancel() {
-  if (cancelled_) {
+  if (ended_) {
     return;
   }
   const auto self = shared_from_this();
-  cancelled_ = true;
+  ended_ = true;
   timer_.Cancel();
-  if (in_callback_) {
-    return;
+  if (connection_ != nullptr) {
+    connection_->Close();
+    connection_.reset();
   }
-  if (client_ != nullptr) {
-    h2o_http1client_cancel(std::exchange(client_, nullptr));
+  if (!in_callback_) {
+    ReleaseCallbacks();
   }
-  ReleaseCallbacks();
 }
 
 void HttpExchange::ReleaseCallbacks() {
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -1,53 +1,38 @@
 #ifndef ACACIASPRING_SRC_NET_HTTP_EXCHANGE_H_
 #define ACACIASPRING_SRC_NET_HTTP_EXCHANGE_H_
 
-#include <array>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "acaciaspring/net.h"
-#include "src/net/h2o.h"
+#include "src/net/http_connection.h"
+#include "src/net/http_pool.h"
 
 namespace acaciaspring::net {
 
-/// @brief One request of an h2o client and its answer.
-class HttpExchange : public std::enable_shared_from_this<HttpExchange> {
+/// @brief One request of the HTTP client and its answer.
+class HttpExchange : public HttpConnection::Events,
+                     public std::enable_shared_from_this<HttpExchange> {
  public:
-  /// @brief `on_ended` is called once, when h2o no longer refers to the exchange and no callback
-  /// follows.
+  /// @brief `on_ended` is called once, when no callback follows.
   HttpExchange(Loop& loop,
                HttpClientRequest request,
                HttpCallbacks callbacks,
                std::function<void(HttpExchange*)> on_ended);
 
-  /// @brief True when method, target and headers can be sent as they are.
-  static bool IsSendable(const HttpClientRequest& request);
-
-  void Start(h2o_http1client_ctx_t& context, h2o_socketpool_t& pool, bool keep_alive);
-  /// @brief Ends an exchange that was not started.
-  void FailUnsent() { Finish(HttpNotSent{}); }
+  /// @brief Throws AddressError.
+  void Start(const std::shared_ptr<HttpPool>& pool);
   void Cancel();
 
- private:
-  // The h2o callbacks, in the order of the exchange.
-  static h2o_http1client_head_cb OnConnect(h2o_http1client_t* client,
-                                           const char* error,
-                                           h2o_iovec_t** buffers,
-                                           size_t* buffer_count,
-                                           int* method_is_head);
-  static h2o_http1client_body_cb OnHead(h2o_http1client_t* client,
-                                        const char* error,
-                                        int minor_version,
-                                        int status,
-                                        h2o_iovec_t message,
-                                        h2o_header_t* headers,
-                                        size_t header_count,
-                                        int head_size);
-  static int OnBody(h2o_http1client_t* client, const char* error);
+  void OnConnected() override;
+  void OnReceived() override;
+  void OnHead(int status, const Headers& headers) override;
+  void OnData(std::string_view data) override;
+  void OnComplete(bool reusable) override;
+  void OnBroken() override;
 
-  h2o_http1client_body_cb ReceiveHead(const char* error, int status, Headers headers);
-  void DeliverBody(h2o_buffer_t** input);
+ private:
   void ArmTimer(Duration delay);
   void OnTimer();
   void Finish(const HttpResult& result);
@@ -58,19 +43,17 @@
   HttpClientRequest request_;
   HttpCallbacks callbacks_;
   std::function<void(HttpExchange*)> on_ended_;
-  std::string head_;
-  std::array<h2o_iovec_t, 2> buffers_{};
-  h2o_http1client_t* client_ = nullptr;
+  std::weak_ptr<HttpPool> pool_;
+  std::shared_ptr<HttpConnection> connection_;
   Timer timer_;
   MonotonicTime last_activity_;
   int status_ = 0;
   HttpResult result_;
-  /// Bytes of the request were handed to the socket.
+  /// Bytes of the request may have been handed to the socket.
   bool sent_ = false;
-  bool ends_with_connection_ = false;
-  /// h2o is calling; it must not be asked to cancel, but told by the return value.
   bool in_callback_ = false;
-  bool cancelled_ = false;
+  /// No callback follows.
+  bool ended_ = false;
   bool finished_ = false;
 };
 
--- a/src/net/peer_test.cc
+++ b/src/net/peer_test.cc
@@ -263,7 +263,9 @@
   };
   auto signer = make();
   auto verifier = make();
-  const std::string bytes = Frame(signer, "first") + Frame(signer, "") + Frame(signer, "third");
+  std::string bytes = Frame(signer, "first");
+  bytes += Frame(signer, "");
+  bytes += Frame(signer, "third");
   DropCounters drops;
   FrameReader reader(drops);
   std::vector<std::string> payloads;
