Add the endpoint package

Cause: the dispatcher needs typed exchanges with model engines and tool services. Change: model calls over server-sent events, tool calls, and the load, hold, cache and order requests of an engine. net gains HttpCall::SetIoTimeout and HttpClient::loop.

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -21,6 +21,8 @@
 struct Address {
   std::string ip = {};
   std::uint16_t port = 0;
+  // clang-tidy takes the zero of the defaulted comparison for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   auto operator<=>(const Address&) const = default;
   std::string ToString() const;
   template <class Archive>
@@ -213,6 +215,8 @@
  public:
   virtual ~HttpCall() = default;
   virtual void Cancel() = 0;
+  /// @brief Replaces the timeout of the request from now on.
+  virtual void SetIoTimeout(Duration timeout) = 0;
 };
 
 struct HttpClientOptions {
@@ -230,6 +234,7 @@
   ~HttpClient();
   /// @brief Throws AddressError when the server's ip is not an IPv4 address.
   std::shared_ptr<HttpCall> Send(HttpClientRequest request, HttpCallbacks callbacks);
+  Loop& loop() const;
 
  private:
   struct Impl;
--- /dev/null
+++ b/src/endpoint/sse_parser_test.cc
@@ -0,0 +1,90 @@
+#include "src/endpoint/sse_parser.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+namespace acaciaspring::endpoint {
+
+namespace {
+
+constexpr std::size_t kLimit = 1000;
+
+std::vector<std::string> DataOf(const std::vector<SseEvent>& events) {
+  std::vector<std::string> data;
+  for (const SseEvent& event : events) {
+    data.push_back(event.id.value_or("-") + "=" + event.data);
+  }
+  return data;
+}
+
+std::vector<std::string> Parse(std::string_view text) {
+  SseParser parser(kLimit);
+  return DataOf(parser.Feed(text));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(sse_parser)
+
+// Guards against misread fields of the event-stream format.
+BOOST_AUTO_TEST_CASE(events_follow_the_format) {
+  using Events = std::vector<std::string>;
+  BOOST_TEST(Parse("data: one\n\ndata:two\r\n\r\ndata\r\rdata:  x\n\n") ==
+                 (Events{"-=one", "-=two", "-=", "-= x"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(Parse("id: 7\ndata: a\ndata: b\n\ndata: c\n\n") == (Events{"7=a\nb", "-=c"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(Parse(": comment\nevent: x\nretry: 1\nunknown\n\nid: 1\n\n").empty());
+  BOOST_TEST(Parse("data: not ended\n").empty());
+}
+
+// Guards against results that depend on how the network cuts the stream.
+BOOST_AUTO_TEST_CASE(pieces_of_any_size_give_the_same_events) {
+  constexpr std::uint64_t kSeed = 20261204;
+  constexpr int kRounds = 2000;
+  const std::vector<std::string> parts = {
+      "data", "id", ":",      " ",    "\n", "\r",     "\r\n", "\n\n",
+      "x",    "17", "[DONE]", "\xff", "{",  "data: ", ": c",  std::string(1, '\0')};
+  std::mt19937_64 random(kSeed);
+  for (int round = 0; round < kRounds; ++round) {
+    std::string text;
+    for (int i = 0; i < 60; ++i) {
+      text += parts[random() % parts.size()];
+    }
+    const std::vector<std::string> whole = Parse(text);
+    SseParser parser(kLimit);
+    std::vector<std::string> pieced;
+    std::string_view rest = text;
+    while (!rest.empty()) {
+      const std::size_t size = std::min<std::size_t>(1 + random() % 5, rest.size());
+      for (const std::string& data : DataOf(parser.Feed(rest.substr(0, size)))) {
+        pieced.push_back(data);
+      }
+      rest.remove_prefix(size);
+    }
+    BOOST_REQUIRE(whole == pieced);
+  }
+}
+
+// Guards against memory that grows with an event, a line or a comment without end.
+BOOST_AUTO_TEST_CASE(size_of_an_event_is_bounded) {
+  for (const std::string& line : {std::string("data: x\n"), std::string("x"), std::string(":")}) {
+    SseParser parser(kLimit);
+    for (std::size_t i = 0; i < kLimit + 1; ++i) {
+      BOOST_TEST(parser.Feed(line).empty());
+    }
+    BOOST_TEST(parser.overflowed(), line);
+    BOOST_TEST(parser.Feed("\n\ndata: late\n\n").empty());
+  }
+  // Events that are each within the bound may be many.
+  SseParser parser(kLimit);
+  const std::string event = "data: " + std::string(kLimit / 2, 'x') + "\n\n";
+  for (int i = 0; i < 100; ++i) {
+    BOOST_TEST(parser.Feed(event).size() == 1U);
+  }
+  BOOST_TEST(!parser.overflowed());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::endpoint
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -22,6 +22,7 @@
   CallHandle& operator=(const CallHandle&) = delete;
   ~CallHandle() override { exchange_->Cancel(); }
   void Cancel() override { exchange_->Cancel(); }
+  void SetIoTimeout(Duration timeout) override { exchange_->SetIoTimeout(timeout); }
 
  private:
   std::shared_ptr<HttpExchange> exchange_;
@@ -51,6 +52,10 @@
 
 HttpClient::~HttpClient() = default;
 
+Loop& HttpClient::loop() const {
+  return impl_->loop;
+}
+
 std::shared_ptr<HttpCall> HttpClient::Send(HttpClientRequest request, HttpCallbacks callbacks) {
   const auto on_ended = [exchanges = impl_->exchanges](HttpExchange* ended) {
     exchanges->live.erase(ended);
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -261,6 +261,27 @@
   BOOST_TEST(reply.body == std::string(20, 'x'));
 }
 
+// Guards against a stream that keeps the long timeout of its first byte.
+BOOST_AUTO_TEST_CASE(timeout_can_be_changed_during_the_answer) {
+  Loop loop;
+  HttpClient client(loop, {});
+  HttpServer server(loop, {.listen = kAnyLoopbackPort},
+                    [](const HttpRequest&, const HttpResponderPtr& responder) {
+                      responder->Start(200, {});
+                      responder->Write("part");
+                    });
+  std::optional<HttpResult> result;
+  std::shared_ptr<HttpCall> call;
+  call = client.Send(
+      {.server = server.address(), .io_timeout = std::chrono::hours(1)},
+      {.on_head = {},
+       .on_data = [&](std::string_view) { call->SetIoTimeout(std::chrono::milliseconds(1)); },
+       .on_done = [&](const HttpResult& given) { result = given; }});
+  RunUntil(loop, [&] { return result.has_value(); });
+  BOOST_TEST(Describe(*result) == "timed out");
+  call->SetIoTimeout(std::chrono::hours(1));
+}
+
 // Guards against callbacks into objects that their owner has given up.
 BOOST_AUTO_TEST_CASE(no_callback_follows_a_cancel) {
   Loop loop;
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -189,6 +189,16 @@
   }
 }
 
+void HttpExchange::SetIoTimeout(Duration timeout) {
+  if (ended_ || finished_) {
+    return;
+  }
+  request_.io_timeout = timeout;
+  // An already late exchange ends from the loop, as any other.
+  ArmTimer(std::max(Duration(0),
+                    timeout - std::chrono::duration_cast<Duration>(loop_.Now() - last_activity_)));
+}
+
 void HttpExchange::ReleaseCallbacks() {
   // The callbacks may own the handle of this exchange, whose destructor calls back.
   const HttpCallbacks released = std::exchange(callbacks_, {});
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -24,6 +24,7 @@
   /// @brief Throws AddressError.
   void Start(const std::shared_ptr<HttpPool>& pool);
   void Cancel();
+  void SetIoTimeout(Duration timeout);
 
   void OnConnected() override;
   void OnReceived() override;
--- a/src/net/test_support.h
+++ b/src/net/test_support.h
@@ -76,7 +76,7 @@
     if (reset) {
       // Connecting a TCP socket to "unspecified" sends a reset on Linux.
       const sockaddr unspecified{.sa_family = AF_UNSPEC, .sa_data = {}};
-      connect(fd, &unspecified, sizeof(unspecified));
+      static_cast<void>(connect(fd, &unspecified, sizeof(unspecified)));
     } else {
       shutdown(fd, SHUT_RDWR);
     }
