Keep what a cut fold forgot from being created again

Change: a creation must have seen the record on which the program was forgotten; checkpoints of programs whose tombstone time is over are refused.

--- a/src/journal/cluster_test.cc
+++ b/src/journal/cluster_test.cc
@@ -58,35 +58,60 @@
     case 0:
       return CatchUp(daemon, step.argument % 8);
     case 1:
-      return CatchUp(daemon, entries_.size());
     case 2:
+      return Flush(daemon, 1 + step.argument % 4);
     case 3:
     case 4:
-      return Flush(daemon, 1 + step.argument % 4);
+      Flush(daemon, 100);
+      return CatchUp(daemon, entries_.size());
     case 5:
-      if (!daemon.sent.empty()) {
-        const Offset offset = daemon.sent[step.argument % daemon.sent.size()];
-        AppendEntry(Batch(entries_[offset.value() - 1].batch));
-      }
-      return;
+      return Repeat(daemon, step.argument);
     case 6:
+      return Claim(daemon, step);
     case 7:
-      return DoShard(daemon, step);
+      return Release(daemon, step);
     case 8:
     case 9:
-      return DoCreate(daemon, step);
+      return DoCreate(OwnerNear(step), step);
     case 10:
       return Checkpoint(daemon);
     case 11:
-      time_ms_ += step.argument % 300;
+      time_ms_ += step.argument % 100;
       return;
     case 12:
-      return step.argument % 3 == 0 ? Restart(daemon, step.argument) : CatchUp(daemon, 1);
+      return step.argument % 8 == 0 ? Restart(daemon, step.argument) : CatchUp(daemon, 1);
     case 13:
-      return Enqueue(daemon, ConfigChanged{daemon.state.revision(),
-                                           "c" + std::to_string(step.argument), "ann"});
+      if (step.argument % 4 == 0) {
+        Enqueue(daemon, ConfigChanged{daemon.state.revision(),
+                                      "c" + std::to_string(step.argument), "ann"});
+      }
+      return;
     default:
-      return DoProgram(daemon, step);
+      return DoProgram(OwnerNear(step), step);
+  }
+}
+
+TestCluster::Daemon& TestCluster::OwnerNear(const Step& step) {
+  const ShardId shard = ShardOf(ProgramOf(step.program));
+  for (std::uint32_t index = 0; index < kDaemons; ++index) {
+    Daemon& daemon = daemons_[(step.daemon + index) % kDaemons];
+    if (Owns(daemon, shard)) {
+      return daemon;
+    }
+  }
+  return daemons_[step.daemon];
+}
+
+bool TestCluster::Owns(const Daemon& daemon, ShardId shard) {
+  const ShardOwner* owner = daemon.state.OwnerOf(shard);
+  return owner != nullptr && owner->daemon == daemon.id &&
+         owner->incarnation == daemon.incarnation;
+}
+
+void TestCluster::Repeat(const Daemon& daemon, std::uint32_t argument) {
+  if (!daemon.sent.empty() && argument % 2 == 0) {
+    const Offset offset = daemon.sent[argument % daemon.sent.size()];
+    AppendEntry(Batch(entries_[offset.value() - 1].batch));
   }
 }
 
@@ -156,27 +181,37 @@
                      [&program](const auto& record) { return record.second == program; });
 }
 
-void TestCluster::DoShard(Daemon& daemon, const Step& step) {
+void TestCluster::Claim(Daemon& daemon, const Step& step) {
   ShardSet shards;
-  shards.Add(ShardOf(ProgramOf(step.program)));
-  shards.Add(ShardOf(ProgramOf(step.argument % kPrograms)));
-  if (step.argument % 3 == 0) {
-    shards.Add(ShardId(0));
+  for (std::uint32_t index = 0; index <= kPrograms; ++index) {
+    const ShardId shard = index < kPrograms ? ShardOf(ProgramOf(index)) : ShardId(0);
+    const ShardOwner* owner = daemon.state.OwnerOf(shard);
+    const bool is_free = owner == nullptr || owner->released;
+    if (is_free || (index == step.program && step.argument % 4 == 0)) {
+      shards.Add(shard);
+    }
   }
-  if (step.kind == 6) {
+  if (!shards.empty()) {
     Enqueue(daemon, ShardsClaimed{shards, daemon.id, daemon.incarnation,
                                   daemon.state.applied_offset()});
-  } else if (step.argument % 2 == 0) {
+  }
+}
+
+void TestCluster::Release(Daemon& daemon, const Step& step) {
+  const ShardId shard = ShardOf(ProgramOf(step.program));
+  if (step.argument % 8 == 0 || (step.argument % 8 == 1 && Owns(daemon, shard))) {
+    ShardSet shards;
+    shards.Add(shard);
     Enqueue(daemon, ShardsReleased{shards, daemon.id});
   }
 }
 
 void TestCluster::DoCreate(Daemon& daemon, const Step& step) {
   const ProgramId id = ProgramOf(step.program);
-  const ShardOwner* owner = daemon.state.OwnerOf(ShardOf(id));
-  if (owner == nullptr || owner->daemon != daemon.id || daemon.state.FindProgram(id) != nullptr) {
+  if (!Owns(daemon, ShardOf(id)) || daemon.state.FindProgram(id) != nullptr) {
     return;
   }
+  const ShardOwner* owner = daemon.state.OwnerOf(ShardOf(id));
   ProgramCreated creation{id,
                           owner->epoch,
                           Org(),
@@ -186,8 +221,10 @@
                           12,
                           {},
                           TokenCount(20)};
-  if (step.argument % 4 != 0) {
-    creation.parent = ProgramOf((step.program + 1 + step.argument / 4 % 3) % kPrograms);
+  const ProgramId parent = ProgramOf((step.program + 1 + step.argument / 4 % 3) % kPrograms);
+  if (step.argument % 16 == 1 ||
+      (step.argument % 4 != 0 && daemon.state.FindProgram(parent) != nullptr)) {
+    creation.parent = parent;
   }
   Enqueue(daemon, creation);
 }
@@ -195,10 +232,10 @@
 void TestCluster::DoProgram(Daemon& daemon, const Step& step) {
   const ProgramId id = ProgramOf(step.program);
   const Program* program = daemon.state.FindProgram(id);
-  const ShardOwner* owner = daemon.state.OwnerOf(ShardOf(id));
-  if (program == nullptr || owner == nullptr || owner->daemon != daemon.id) {
+  if (program == nullptr || !Owns(daemon, ShardOf(id))) {
     return;
   }
+  const ShardOwner* owner = daemon.state.OwnerOf(ShardOf(id));
   const IdempotencyKey key("k" + std::to_string(step.argument % 3));
   switch (step.kind) {
     case 14:
--- a/src/journal/program_checkpoint.cc
+++ b/src/journal/program_checkpoint.cc
@@ -18,6 +18,11 @@
                       });
 }
 
+/// True for an ended program that a fold which knew it would have forgotten by now.
+bool HasVanished(const StateData& data, const RecordPlace& place, const Program& program) {
+  return program.ended && program.last_activity_ms + data.tombstone_ms <= place.time_ms;
+}
+
 /// A live child is known only together with its parent, whose end also ends the child.
 bool HasParent(StateData& data, const Program& program) {
   if (program.ended || program.parent.empty()) {
@@ -60,6 +65,9 @@
   if (!data.started_late()) {
     return Rejected{RejectReason::kUnknownProgram};
   }
+  if (HasVanished(data, place, record.state)) {
+    return Rejected{RejectReason::kOutdated};
+  }
   if (!IsCurrent(data, place, record.state) || !HasParent(data, record.state)) {
     return Rejected{RejectReason::kUndecided};
   }
--- a/src/journal/program_tree.cc
+++ b/src/journal/program_tree.cc
@@ -155,19 +155,19 @@
     return;
   }
   const std::set<ProgramId> children = entry->program.children;
+  const Offset touched = entry->touched;
   data.Erase(id);
-  data.NoteUnknown(id, offset, false);
+  data.NoteUnknown(id, &UnknownTouch::touched, touched);
+  data.NoteUnknown(id, &UnknownTouch::forgotten, offset);
   for (const ProgramId& child : children) {
-    if (data.Find(child) != nullptr) {
-      Forget(data, child, Offset());
-    }
+    Forget(data, child, offset);
   }
 }
 
 void TouchProgram(StateData& data, const RecordPlace& place, const ProgramId& id) {
   ProgramEntry* entry = data.Find(id);
   if (entry == nullptr) {
-    data.NoteUnknown(id, place.offset, false);
+    data.NoteUnknown(id, &UnknownTouch::touched, place.offset);
     return;
   }
   entry->touched = place.offset;
@@ -188,7 +188,7 @@
 void TouchParent(StateData& data, const RecordPlace& place, const ProgramEnded& record) {
   const ProgramEntry* child = data.Find(record.program);
   if (child == nullptr) {
-    data.NoteUnknown(record.program, place.offset, true);
+    data.NoteUnknown(record.program, &UnknownTouch::ended, place.offset);
   }
   const ProgramId parent = ParentOf(data, record.program);
   if (parent.empty()) {
@@ -202,7 +202,7 @@
 }
 
 Verdict ApplyRecord(StateData& data, const RecordPlace& place, const ProgramCreated& record) {
-  const Offset touched_before = data.UnknownTouchOf(record.program).touched;
+  const Offset touched_before = data.UnknownTouchOf(record.program).last();
   TouchProgram(data, place, record.program);
   TouchParent(data, place, record);
   const ShardId shard = ShardOf(record.program);
--- a/src/journal/state_data.cc
+++ b/src/journal/state_data.cc
@@ -41,7 +41,7 @@
     ++live_programs;
   }
   if (const auto touch = unknown.find(id); touch != unknown.end()) {
-    unknown_by_offset.erase({touch->second.touched, id});
+    unknown_by_offset.erase({touch->second.last(), id});
     unknown.erase(touch);
   }
   return programs[id] = std::move(entry);
@@ -87,18 +87,15 @@
     }
   }
   for (const auto& [id, touch] : unknown) {
-    unknown_by_offset.emplace(touch.touched, id);
+    unknown_by_offset.emplace(touch.last(), id);
   }
 }
 
-void StateData::NoteUnknown(const ProgramId& id, Offset offset, bool ended) {
+void StateData::NoteUnknown(const ProgramId& id, Offset UnknownTouch::*kind, Offset offset) {
   UnknownTouch& touch = unknown[id];
-  unknown_by_offset.erase({touch.touched, id});
-  touch.touched = offset;
-  if (ended) {
-    touch.ended = offset;
-  }
-  unknown_by_offset.emplace(offset, id);
+  unknown_by_offset.erase({touch.last(), id});
+  touch.*kind = offset;
+  unknown_by_offset.emplace(touch.last(), id);
 }
 
 UnknownTouch StateData::UnknownTouchOf(const ProgramId& id) const {
--- a/src/journal/state_data.h
+++ b/src/journal/state_data.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASPRING_SRC_JOURNAL_STATE_DATA_H_
 #define ACACIASPRING_SRC_JOURNAL_STATE_DATA_H_
 
+#include <algorithm>
 #include <cereal/types/utility.hpp>
 #include <map>
 #include <set>
@@ -50,13 +51,19 @@
   }
 };
 
-/// Last records that name a program which is not known.
+/// Offsets of the last records that concern a program which is not known.
 struct UnknownTouch {
+  /// Last record that names it.
   Offset touched;
+  /// Last record that ends it.
   Offset ended;
+  /// Last record on which this fold forgot it, perhaps together with its parent. It existed then, so
+  /// a creation must have seen that record.
+  Offset forgotten;
+  Offset last() const { return std::max({touched, ended, forgotten}); }
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(touched, ended);
+    archive(touched, ended, forgotten);
   }
 };
 
@@ -116,7 +123,7 @@
   /// Forgets one program without looking at its relatives.
   void Erase(const ProgramId& id);
   void RebuildIndexes();
-  void NoteUnknown(const ProgramId& id, Offset offset, bool ended);
+  void NoteUnknown(const ProgramId& id, Offset UnknownTouch::*kind, Offset offset);
   UnknownTouch UnknownTouchOf(const ProgramId& id) const;
   /// Drops tombstones, touched offsets and writers that are too old.
   void Expire(std::int64_t now_ms);
--- a/src/journal/test_cluster.h
+++ b/src/journal/test_cluster.h
@@ -71,10 +71,15 @@
   void CatchUp(Daemon& daemon, std::uint64_t count);
   void Restart(Daemon& daemon, std::uint32_t argument);
   void Checkpoint(Daemon& daemon);
-  void DoShard(Daemon& daemon, const Step& step);
+  void Repeat(const Daemon& daemon, std::uint32_t argument);
+  void Claim(Daemon& daemon, const Step& step);
+  void Release(Daemon& daemon, const Step& step);
   void DoCreate(Daemon& daemon, const Step& step);
   void DoProgram(Daemon& daemon, const Step& step);
   void DoTurn(Daemon& daemon, const Step& step, const Program& program, Epoch epoch);
+  /// The next daemon from that of the step on whose fold makes it the owner of the program.
+  Daemon& OwnerNear(const Step& step);
+  static bool Owns(const Daemon& daemon, ShardId shard);
   bool IsPending(const Daemon& daemon, const ProgramId& program) const;
   void CheckProgram(const Program& program) const;
   void CheckEffects() const;
