Tail the log over HTTP and append with repeats

Cause: the fold needs the log service's entries, and records must survive outages and lost answers. Change: the long poll, the append with its timeout, availability, rebuilding after retention has overtaken the fold, and verdict callbacks.

--- /dev/null
+++ b/src/journal/journal.cc
@@ -0,0 +1,275 @@
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "src/journal/journal_impl.h"
+
+namespace acaciaspring::journal {
+
+namespace {
+
+constexpr Duration kFirstPollRetry = std::chrono::milliseconds(50);
+constexpr Duration kLastPollRetry = std::chrono::seconds(1);
+
+ProgramId ProgramOf(const Record& record) {
+  return std::visit(
+      [](const auto& known) {
+        if constexpr (requires { known.program; }) {
+          return known.program;
+        } else {
+          return ProgramId();
+        }
+      },
+      record);
+}
+
+/// A shorter answer was not cut short by the requested size, so it reaches the end of the log.
+std::size_t ShortAnswerBytes(const JournalOptions& options) {
+  const std::size_t largest =
+      std::max(options.writer.max_batch_bytes, options.writer.max_record_bytes) + 1024;
+  return options.max_poll_bytes > largest ? options.max_poll_bytes - largest : 0;
+}
+
+}  // namespace
+
+Journal::Impl::Impl(net::Loop& event_loop, net::HttpClient& client, JournalOptions journal_options)
+    : options(std::move(journal_options)),
+      state(options.state),
+      loop_(event_loop),
+      log_(event_loop, client, options.log, options.stream),
+      writer_(options.writer, options.daemon, options.incarnation) {}
+
+void Journal::Impl::Start() {
+  started_ = true;
+  Poll();
+  SchedulePump();
+}
+
+void Journal::Impl::Poll() {
+  ++counters.polls;
+  // Until the end of the log is reached there is nothing to wait for.
+  const Duration wait = caught_up ? options.poll_wait : Duration(0);
+  log_.Read(state.applied_offset() + Offset(1), wait, options.max_poll_bytes,
+            options.log_unavailable_after,
+            [weak = weak_from_this()](std::optional<LogAnswer> answer) {
+              if (const auto self = weak.lock()) {
+                self->OnAnswer(std::move(answer));
+              }
+            });
+}
+
+void Journal::Impl::OnAnswer(std::optional<LogAnswer> answer) {
+  if (!answer) {
+    return Retry();
+  }
+  if (poll_delay_ != Duration()) {
+    LOG(INFO) << "the log answers again";
+  }
+  last_answer_ = loop_.Now();
+  if (answer->first > state.applied_offset() + Offset(1)) {
+    Rebuild(answer->first);
+  }
+  if (!ApplyBody(answer->body)) {
+    LOG(ERROR) << "the log's answer from offset " << state.applied_offset() << " is malformed";
+    return Retry();
+  }
+  poll_delay_ = Duration();
+  if (answer->body.size() <= ShortAnswerBytes(options) && !caught_up) {
+    caught_up = true;
+    ResolveLost();
+  }
+  Poll();
+}
+
+void Journal::Impl::Retry() {
+  ++counters.poll_failures;
+  if (poll_delay_ == Duration()) {
+    LOG(WARNING) << "the log does not answer at offset " << state.applied_offset();
+  }
+  poll_delay_ = std::clamp(poll_delay_ * 2, kFirstPollRetry, kLastPollRetry);
+  poll_timer_ = loop_.After(poll_delay_, [this] { Poll(); });
+}
+
+bool Journal::Impl::ApplyBody(const std::string& body) {
+  const auto entries = ParseEntries(body);
+  if (!entries) {
+    return false;
+  }
+  for (const LogEntry& entry : *entries) {
+    if (entry.offset > state.applied_offset() + Offset(1)) {
+      // The fold must not miss an entry; the log has dropped some since it stated the first one.
+      Rebuild(entry.offset);
+    }
+    if (entry.offset > state.applied_offset()) {
+      ApplyEntry(entry);
+    }
+  }
+  return true;
+}
+
+void Journal::Impl::ApplyEntry(const LogEntry& entry) {
+  ++counters.entries_applied;
+  Batch batch;
+  try {
+    batch = wire::Decode<Batch>(entry.bytes);
+  } catch (const wire::DecodeError& error) {
+    LOG(ERROR) << "skipped log entry " << entry.offset << ": " << error.what();
+    return state.ApplyMalformed(entry.offset, entry.appended);
+  }
+  const std::vector<AppliedRecord> applied = state.Apply(entry.offset, entry.appended, batch);
+  for (std::size_t index = 0; index < applied.size(); ++index) {
+    const Verdict& verdict = applied[index].verdict;
+    for (std::size_t observer = 0; observer < observers.size(); ++observer) {
+      observers[observer](batch.envelopes[index], entry.offset, verdict);
+    }
+    if (IsOwn(applied[index].id)) {
+      OnOwnRecord(applied[index].id.sequence, verdict);
+    }
+  }
+}
+
+bool Journal::Impl::IsOwn(const RecordId& id) const {
+  return id.daemon == options.daemon && id.incarnation == options.incarnation;
+}
+
+void Journal::Impl::OnOwnRecord(std::uint64_t sequence, const Verdict& verdict) {
+  if (writer_.OnFolded(sequence)) {
+    log_.AbandonAppend();
+    SchedulePump();
+  }
+  acknowledged_ = std::max(acknowledged_, sequence);
+  const auto known = pending.find(sequence);
+  if (known == pending.end()) {
+    return;
+  }
+  const Pending record = std::move(known->second);
+  pending.erase(known);
+  if (const auto count = pending_programs.find(record.program);
+      count != pending_programs.end() && --count->second == 0) {
+    pending_programs.erase(count);
+  }
+  if (record.done) {
+    record.done(verdict);
+  }
+}
+
+void Journal::Impl::Rebuild(Offset first) {
+  // A fold that has not applied anything has no state to throw away.
+  const bool had_state = state.applied_offset() >= state.first_offset();
+  LOG(INFO) << "the log no longer retains offset " << state.applied_offset() + Offset(1)
+            << "; the fold starts at offset " << first;
+  state = State(options.state, first);
+  caught_up = false;
+  lost_limit_ = acknowledged_;
+  if (had_state) {
+    ++counters.rebuilds;
+    for (const auto& callback : rebuild_callbacks) {
+      callback();
+    }
+  }
+}
+
+void Journal::Impl::ResolveLost() {
+  while (!pending.empty() && pending.begin()->first <= lost_limit_) {
+    OnOwnRecord(pending.begin()->first, Rejected{RejectReason::kUndecided});
+  }
+}
+
+AppendResult Journal::Impl::Append(Record record, Done done) {
+  ProgramId program = ProgramOf(record);
+  AppendResult result = writer_.Enqueue(std::move(record), state.applied_offset());
+  const auto* id = std::get_if<RecordId>(&result);
+  if (id == nullptr) {
+    ++counters.queue_refusals;
+    return result;
+  }
+  if (!program.empty()) {
+    ++pending_programs[program];
+  }
+  pending[id->sequence] = {std::move(done), std::move(program)};
+  SchedulePump();
+  return result;
+}
+
+void Journal::Impl::SchedulePump() {
+  if (!started_ || pump_scheduled_) {
+    return;
+  }
+  // Records of one loop iteration share an append.
+  pump_scheduled_ = true;
+  loop_.Post([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->pump_scheduled_ = false;
+      self->Pump();
+    }
+  });
+}
+
+void Journal::Impl::Pump() {
+  const MonotonicTime now = loop_.Now();
+  const std::optional<MonotonicTime> first_attempt = writer_.unacknowledged_since();
+  std::optional<std::string> bytes = writer_.NextAppend(now);
+  if (bytes) {
+    ++counters.appends;
+    counters.append_retries += first_attempt ? 1 : 0;
+    log_.Append(std::move(*bytes), options.writer.append_timeout,
+                [this](bool acknowledged) { OnAppendDone(acknowledged); });
+  } else if (const auto wakeup = writer_.NextWakeup(now)) {
+    pump_timer_ = loop_.After(std::max(*wakeup - now, Duration(0)), [this] { Pump(); });
+  }
+}
+
+void Journal::Impl::OnAppendDone(bool acknowledged) {
+  if (acknowledged) {
+    acknowledged_ = std::max(acknowledged_, writer_.batch_end());
+    writer_.OnAcknowledged();
+  } else {
+    writer_.OnFailed(loop_.Now());
+  }
+  SchedulePump();
+}
+
+bool Journal::Impl::Available() const {
+  const MonotonicTime limit = loop_.Now() - options.log_unavailable_after;
+  const std::optional<MonotonicTime> unacknowledged = writer_.unacknowledged_since();
+  return last_answer_ && *last_answer_ > limit && (!unacknowledged || *unacknowledged > limit);
+}
+
+Journal::Journal(net::Loop& loop, net::HttpClient& client, JournalOptions options)
+    : impl_(std::make_shared<Impl>(loop, client, std::move(options))) {}
+Journal::~Journal() = default;
+
+void Journal::Start() {
+  impl_->Start();
+}
+
+AppendResult Journal::Append(Record record, Done done) {
+  return impl_->Append(std::move(record), std::move(done));
+}
+void Journal::OnApplied(Observer observer) {
+  impl_->observers.push_back(std::move(observer));
+}
+void Journal::OnRebuilt(std::function<void()> callback) {
+  impl_->rebuild_callbacks.push_back(std::move(callback));
+}
+const State& Journal::state() const {
+  return impl_->state;
+}
+bool Journal::caught_up() const {
+  return impl_->caught_up;
+}
+bool Journal::available() const {
+  return impl_->Available();
+}
+bool Journal::IsPending(const ProgramId& program) const {
+  return impl_->pending_programs.contains(program);
+}
+std::size_t Journal::pending_records() const {
+  return impl_->pending.size();
+}
+const JournalCounters& Journal::counters() const {
+  return impl_->counters;
+}
+
+}  // namespace acaciaspring::journal
--- /dev/null
+++ b/src/journal/journal_impl.h
@@ -0,0 +1,68 @@
+#ifndef ACACIASPRING_SRC_JOURNAL_JOURNAL_IMPL_H_
+#define ACACIASPRING_SRC_JOURNAL_JOURNAL_IMPL_H_
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "acaciaspring/journal.h"
+#include "src/journal/log_client.h"
+#include "src/journal/writer.h"
+
+namespace acaciaspring::journal {
+
+struct Journal::Impl : std::enable_shared_from_this<Impl> {
+ public:
+  Impl(net::Loop& event_loop, net::HttpClient& client, JournalOptions journal_options);
+
+  void Start();
+  AppendResult Append(Record record, Done done);
+  bool Available() const;
+
+  JournalOptions options;
+  State state;
+  bool caught_up = false;
+  JournalCounters counters;
+  std::vector<Observer> observers;
+  std::vector<std::function<void()>> rebuild_callbacks;
+  std::map<ProgramId, std::size_t> pending_programs;
+
+  struct Pending {
+    Done done;
+    ProgramId program;
+  };
+  std::map<std::uint64_t, Pending> pending;
+
+ private:
+  void Poll();
+  void OnAnswer(std::optional<LogAnswer> answer);
+  void Retry();
+  bool ApplyBody(const std::string& body);
+  void ApplyEntry(const LogEntry& entry);
+  void OnOwnRecord(std::uint64_t sequence, const Verdict& verdict);
+  void Rebuild(Offset first);
+  void ResolveLost();
+  void SchedulePump();
+  void Pump();
+  void OnAppendDone(bool acknowledged);
+  bool IsOwn(const RecordId& id) const;
+
+  net::Loop& loop_;
+  LogClient log_;
+  Writer writer_;
+  bool started_ = false;
+  net::Timer poll_timer_;
+  Duration poll_delay_{};
+  net::Timer pump_timer_;
+  bool pump_scheduled_ = false;
+  /// Time of the last answer to a poll.
+  std::optional<MonotonicTime> last_answer_;
+  /// Last sequence number acknowledged by the log.
+  std::uint64_t acknowledged_ = 0;
+  /// Records up to here were acknowledged before the last rebuild; the log may have dropped them.
+  std::uint64_t lost_limit_ = 0;
+};
+
+}  // namespace acaciaspring::journal
+
+#endif  // ACACIASPRING_SRC_JOURNAL_JOURNAL_IMPL_H_
--- /dev/null
+++ b/src/journal/test_log_server.h
@@ -0,0 +1,116 @@
+#ifndef ACACIASPRING_SRC_JOURNAL_TEST_LOG_SERVER_H_
+#define ACACIASPRING_SRC_JOURNAL_TEST_LOG_SERVER_H_
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "acaciaspring/net.h"
+
+namespace acaciaspring::journal {
+
+/// @brief For tests: the log service's protocol with switches for faults.
+class TestLogServer {
+ public:
+  explicit TestLogServer(net::Loop& loop)
+      : server_(loop,
+                net::HttpServerOptions{.listen = {"127.0.0.1", 0}},
+                [this](const net::HttpRequest& request, net::HttpResponderPtr responder) {
+                  Handle(request, std::move(responder));
+                }),
+        expiry_(loop.Every(std::chrono::milliseconds(50), [this] { Expire(); })) {}
+
+  net::Address address() const { return server_.address(); }
+  std::uint64_t head() const { return first + entries.size() - 1; }
+  /// @brief Drops the oldest entries.
+  void Cut(std::uint64_t new_first) {
+    entries.erase(entries.begin(),
+                  entries.begin() + static_cast<std::ptrdiff_t>(new_first - first));
+    first = new_first;
+  }
+  /// @brief Answers the reads that wait.
+  void Wake() {
+    const std::vector<Reader> waiting = std::exchange(readers_, {});
+    for (const Reader& reader : waiting) {
+      Read(reader);
+    }
+  }
+
+  std::uint64_t first = 1;
+  std::vector<std::string> entries;
+  std::uint64_t appends = 0;
+  bool outage = false;
+  /// Takes appends without answering them.
+  bool lose_acknowledgements = false;
+  /// Leaves reads waiting.
+  bool hold_reads = false;
+
+ private:
+  struct Reader {
+    std::uint64_t from = 1;
+    bool wait = false;
+    net::HttpResponderPtr responder;
+  };
+
+  void Handle(const net::HttpRequest& request, net::HttpResponderPtr responder) {
+    if (outage) {
+      return responder->Respond(503, {}, "");
+    }
+    if (request.method == "POST") {
+      entries.push_back(request.body);
+      ++appends;
+      if (!lose_acknowledgements) {
+        responder->Respond(200, {}, R"({"offset":)" + std::to_string(head()) + "}");
+      }
+      return Wake();
+    }
+    Read({std::stoull(std::string(net::FindQueryParameter(request, "from"))),
+          net::FindQueryParameter(request, "wait_ms") != "0", std::move(responder)});
+  }
+
+  void Read(const Reader& reader) {
+    if (hold_reads || (reader.wait && reader.from > head() && !outage)) {
+      readers_.push_back(reader);
+      return;
+    }
+    if (outage) {
+      return reader.responder->Respond(503, {}, "");
+    }
+    std::string body;
+    const std::uint64_t from = std::max(reader.from, first);
+    for (std::uint64_t offset = from; offset <= head(); ++offset) {
+      const std::string& entry = entries[offset - first];
+      AppendBigEndian(body, offset, 8);
+      AppendBigEndian(body, 1'700'000'000'000 + offset, 8);
+      AppendBigEndian(body, entry.size(), 4);
+      body += entry;
+    }
+    reader.responder->Respond(200,
+                              {{"x-first-offset", std::to_string(first)},
+                               {"x-next-offset", std::to_string(std::max(from, head() + 1))}},
+                              body);
+  }
+
+  static void AppendBigEndian(std::string& out, std::uint64_t value, int bytes) {
+    for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+      out.push_back(static_cast<char>(value >> shift & 0xff));
+    }
+  }
+
+  /// Ends the wait of the reads; their wait_ms is taken as about 50.
+  void Expire() {
+    for (Reader& reader : readers_) {
+      reader.wait = false;
+    }
+    Wake();
+  }
+
+  std::vector<Reader> readers_;
+  net::HttpServer server_;
+  net::Timer expiry_;
+};
+
+}  // namespace acaciaspring::journal
+
+#endif  // ACACIASPRING_SRC_JOURNAL_TEST_LOG_SERVER_H_
