Test settings, configuration documents and damaged texts

Cause: operators rely on the place and the kind of each fault. Only the first syntax fault is reported, because JsonCpp's later ones follow from its recovery.

--- /dev/null
+++ b/src/config/document_test.cc
@@ -0,0 +1,174 @@
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "src/config/test_samples.h"
+
+namespace acaciaspring::config {
+
+namespace {
+
+std::string DocumentFaults(const std::string& from, const std::string& to) {
+  return FaultsOf([&] { ParseDocument(Replaced(kSampleDocument, from, to)); });
+}
+
+/// A folder for one test case, removed at its end.
+class Folder {
+ public:
+  Folder() : path_(std::filesystem::temp_directory_path() / Name()) {
+    std::filesystem::create_directories(path_);
+  }
+  ~Folder() { std::filesystem::remove_all(path_); }
+  Folder(const Folder&) = delete;
+  Folder& operator=(const Folder&) = delete;
+  void Write(const std::string& name, const std::string& text) const {
+    std::ofstream(path_ / name) << text;
+  }
+  std::string path() const { return path_.string(); }
+
+ private:
+  static std::string Name() {
+    return "acaciaspring-config-test-" + std::to_string(std::random_device()());
+  }
+  std::filesystem::path path_;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(document)
+
+BOOST_AUTO_TEST_CASE(every_value_arrives_and_defaults_fill_the_rest) {
+  const Document document = ParseDocument(kSampleDocument);
+  const Organisation& desk = document.organisations.at(OrganisationId("rice-desk"));
+  BOOST_TEST(desk.weight == 2);
+  BOOST_TEST(desk.max_programs == 100U);
+  BOOST_TEST(document.organisations.at(OrganisationId("saddlefit")).weight == 1);
+  const PriorityClass& urgent = document.priority_classes.at(PriorityClassId("urgent"));
+  BOOST_TEST((urgent.first_token_target == std::chrono::milliseconds(600)));
+  BOOST_TEST(document.limits.program_max_calls == 530U);
+  const Endpoint& gpu = document.endpoints.at(EndpointId("gpu-1"));
+  BOOST_TEST(gpu.models.size() == 2U);
+  BOOST_TEST(gpu.checks_fencing);
+  BOOST_TEST((document.endpoints.at(EndpointId("gpu-2")).state == EndpointState::kLeaving));
+  const Service& order = document.services.at(ServiceId("parts-order"));
+  BOOST_TEST(order.operation == "order");
+  BOOST_TEST((order.timeout == std::chrono::seconds(2)));
+  BOOST_TEST(document.policy.retry_ratio == 0.2);
+  BOOST_TEST(!document.policy.preempt);
+}
+
+BOOST_AUTO_TEST_CASE(fault_table) {
+  struct Row {
+    std::string from, to;
+    std::string expected;
+  };
+  const std::vector<Row> rows{
+      {"\"rank\": 2", "\"rank\": 0", "8 priority_classes.urgent.rank conflict"},
+      {"0.25", "0.6", "8 priority_classes.urgent.minimum_share conflict"},
+      {"0.25", "1.6",
+       "10 priority_classes.batch.minimum_share conflict; 10 priority_classes.batch.minimum_share "
+       "out_of_range"},
+      {"127.0.0.1:9002", "127.0.0.1:9001", "16 endpoints.gpu-2.address conflict"},
+      {"saddlefit-key-0001", "rice-desk-key-0001", "5 organisations.saddlefit.key conflict"},
+      {"saddlefit-key-0001", "short", "5 organisations.saddlefit.key out_of_range"},
+      {"\"kind\": \"engine\"", "\"kind\": \"toaster\"", "14 endpoints.gpu-1.kind invalid_value"},
+      {"\"leaving\"", "\"gone\"", "17 endpoints.gpu-2.state invalid_value"},
+      {"[\"small\"]", "[]", "17 endpoints.gpu-2.models out_of_range"},
+      {"[\"small\"]", "[1]",
+       "17 endpoints.gpu-2.models out_of_range; 17 endpoints.gpu-2.models wrong_type"},
+      {"[\"small\", \"large\"]", "[\"small\", \"small\"]", "15 endpoints.gpu-1.models conflict"},
+      {"\"idempotent\": false,", "", "20 services.parts-order.idempotent missing_key"},
+      {"\"idempotent\": false", "\"idempotent\": 0",
+       "20 services.parts-order.idempotent wrong_type"},
+      {"\"operation\": \"order\"", "\"operation\": \"a b\"",
+       "20 services.parts-order.operation invalid_value"},
+      {"\"gpu-2\"", "\"gpu 2\"", "16 endpoints invalid_value"},
+      {"\"policy\"", "\"polcy\"", "23 polcy unknown_key"},
+      {"{\"retry_ratio\": 0.2, \"preempt\": false}", "[]", "23 policy wrong_type"},
+      {"290000", "0", "12 limits.program_budget_tokens out_of_range"},
+      {"\"weight\": 2", "\"wait\": 2", "3 organisations.rice-desk.wait unknown_key"},
+      {"\"batch\"", "\"urgent\"", "10  duplicate_key"},
+  };
+  for (const Row& row : rows) {
+    BOOST_TEST_CONTEXT(row.from << " -> " << row.to) {
+      BOOST_TEST(DocumentFaults(row.from, row.to) == row.expected);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(files_are_merged_in_the_order_of_their_names) {
+  const Folder folder;
+  folder.Write("20-override.json", R"({"organisations": {"saddlefit": null,
+      "rice-desk": {"weight": 7}}, /* no more */ "policy": {"preempt": null}})");
+  folder.Write("10-base.json", kSampleDocument);
+  folder.Write("30-notes.txt", "not JSON");
+  const Document document = LoadFolder(folder.path());
+  BOOST_TEST(document.organisations.size() == 1U);
+  BOOST_TEST(document.organisations.at(OrganisationId("rice-desk")).weight == 7);
+  BOOST_TEST(document.organisations.at(OrganisationId("rice-desk")).max_programs == 100U);
+  BOOST_TEST(document.policy.preempt);
+}
+
+// A fault must lead to the file that set the value, not to the one that was merged last.
+BOOST_AUTO_TEST_CASE(faults_of_merged_values_name_their_file) {
+  const Folder folder;
+  folder.Write("10-base.json", kSampleDocument);
+  folder.Write("20-override.json", "{\n\"organisations\":\n{\"rice-desk\": {\"weight\": -1}}}");
+  folder.Write("30-broken.json", "{");
+  try {
+    LoadFolder(folder.path());
+    BOOST_ERROR("no fault was found");
+  } catch (const ConfigError& error) {
+    BOOST_TEST_REQUIRE(error.diagnostics().size() >= 1U);
+    BOOST_TEST(error.diagnostics()[0].file.ends_with("30-broken.json"));
+  }
+  folder.Write("30-broken.json", "{}");
+  try {
+    LoadFolder(folder.path());
+    BOOST_ERROR("no fault was found");
+  } catch (const ConfigError& error) {
+    BOOST_TEST_REQUIRE(error.diagnostics().size() == 1U);
+    BOOST_TEST(error.diagnostics()[0].file.ends_with("20-override.json"));
+    BOOST_TEST(error.diagnostics()[0].line == 3U);
+    BOOST_TEST(error.diagnostics()[0].key_path == "organisations.rice-desk.weight");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(folders_without_files_are_refused) {
+  const Folder folder;
+  BOOST_TEST((FaultsOf([&] { LoadFolder(folder.path()); }) == "0  unreadable"));
+  BOOST_TEST((FaultsOf([&] { LoadFolder(folder.path() + "/x"); }) == "0  unreadable"));
+}
+
+// The text in the log must give every daemon the document that the operator saw.
+BOOST_AUTO_TEST_CASE(canonical_text_is_stable) {
+  const Document document = ParseDocument(kSampleDocument);
+  const std::string text = CanonicalText(document);
+  const Document again = ParseDocument(text);
+  BOOST_TEST(CanonicalText(again) == text);
+  BOOST_TEST(Diff(document, again).empty());
+  BOOST_TEST(CanonicalText(ParseDocument("{}")) == CanonicalText(Document()));
+}
+
+BOOST_AUTO_TEST_CASE(differences_list_changed_leaves_and_hide_keys) {
+  const Document before = ParseDocument(kSampleDocument);
+  std::string text = Replaced(kSampleDocument, "\"weight\": 2", "\"weight\": 3");
+  text = Replaced(text, "rice-desk-key-0001", "rice-desk-key-0002");
+  text = Replaced(text, "\"gpu-2\": {\"address\": \"127.0.0.1:9002\"",
+                  "\"gpu-3\": {\"address\": \"127.0.0.1:9002\"");
+  const std::vector<Change> changes = Diff(before, ParseDocument(text));
+  const auto has = [&changes](const Change& change) {
+    return std::find(changes.begin(), changes.end(), change) != changes.end();
+  };
+  BOOST_TEST(has({"organisations.rice-desk.weight", "2.0", "3.0"}));
+  BOOST_TEST(has({"organisations.rice-desk.key", "***", "***"}));
+  BOOST_TEST(has({"endpoints.gpu-2.zone", "\"kumamoto\"", ""}));
+  BOOST_TEST(has({"endpoints.gpu-3.models", "", "[\"small\"]"}));
+  // Two leaves of the organisation, and eleven each of the endpoints that went and came.
+  BOOST_TEST(changes.size() == 24U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::config
--- a/src/config/source.cc
+++ b/src/config/source.cc
@@ -94,33 +94,24 @@
   return 0;
 }
 
-/// Turns JsonCpp's report ("* Line 3, Column 5\n  text\n" for each fault) into diagnostics.
-std::vector<Diagnostic> ParseReport(const std::string& report, const std::string& file) {
+/// The first fault of JsonCpp's report ("* Line 3, Column 5\n  text\n" for each). The others arise
+/// from its attempt to go on after the first.
+Diagnostic FirstFault(const std::string& report, const std::string& file) {
   constexpr std::string_view kPlace = "* Line ";
-  std::vector<Diagnostic> diagnostics;
-  std::size_t at = report.find(kPlace);
-  while (at != std::string::npos) {
-    const std::size_t next = report.find("\n* Line ", at);
-    std::string_view entry(report);
-    entry = entry.substr(at + kPlace.size(), next == std::string::npos ? next : next - at);
-    Diagnostic diagnostic{file, 0, "", DiagnosticCode::kSyntax, ""};
-    std::from_chars(entry.data(), entry.data() + entry.size(), diagnostic.line);
-    const std::size_t text = entry.find('\n');
-    diagnostic.detail = text == std::string_view::npos ? "" : std::string(entry.substr(text + 1));
-    while (!diagnostic.detail.empty() && diagnostic.detail.back() == '\n') {
-      diagnostic.detail.pop_back();
-    }
-    diagnostic.detail.erase(0, diagnostic.detail.find_first_not_of(' '));
-    if (diagnostic.detail.starts_with("Duplicate key")) {
-      diagnostic.code = DiagnosticCode::kDuplicateKey;
-    }
-    diagnostics.push_back(std::move(diagnostic));
-    at = next == std::string::npos ? next : next + 1;
-  }
-  if (diagnostics.empty()) {
-    diagnostics.push_back({file, 0, "", DiagnosticCode::kSyntax, report});
-  }
-  return diagnostics;
+  Diagnostic diagnostic{file, 0, "", DiagnosticCode::kSyntax, report};
+  const std::size_t place = report.find(kPlace);
+  const std::size_t text = report.find("\n  ", place);
+  if (place == std::string::npos || text == std::string::npos) {
+    return diagnostic;
+  }
+  const char* number = report.data() + place + kPlace.size();
+  std::from_chars(number, report.data() + report.size(), diagnostic.line);
+  const std::size_t end = report.find('\n', text + 1);
+  diagnostic.detail = report.substr(text + 3, end - text - 3);
+  if (diagnostic.detail.starts_with("Duplicate key")) {
+    diagnostic.code = DiagnosticCode::kDuplicateKey;
+  }
+  return diagnostic;
 }
 
 Json::Value ParseJson(std::string_view text, const std::string& file_name) {
@@ -139,7 +130,7 @@
     Fail(file_name, 0, DiagnosticCode::kSyntax, error.what());
   }
   if (!parsed) {
-    throw ConfigError(ParseReport(report, file_name));
+    throw ConfigError({FirstFault(report, file_name)});
   }
   return root;
 }
