--- a/include/acaciaspring/membership.h
+++ b/include/acaciaspring/membership.h
@@ -55,14 +55,17 @@
   std::size_t indirect_probes = 3;
   /// Time for a suspected member to refute.
   Duration suspicion_time = std::chrono::seconds(5);
-  /// After this time a suspicion that fewer zones have confirmed than required ends in death, if no
-  /// other zone has a member in state alive.
+  /// After this time the confirmation of this daemon's own zone suffices, if no other zone has a
+  /// member in state alive.
   Duration lone_zone_suspicion_time = std::chrono::seconds(60);
   /// Dead members are remembered, and probed now and then, for this time. Longer than the longest
   /// expected partition.
   Duration dead_retention = std::chrono::hours(4);
   /// Bytes of member updates in one datagram.
-  std::size_t max_piggyback_bytes = 600;
+  std::size_t max_piggyback_bytes = 1000;
+  /// Limits what is sent, with IP, UDP and authentication headers. Member updates wait when it is
+  /// used up; probes and their answers don't. As much is received as sent on average.
+  std::size_t max_sent_bytes_per_second = 2048;
 };
 
 /// @brief A payload to seal and send to the peer address of a daemon.
--- a/include/acaciaspring/placement.h
+++ b/include/acaciaspring/placement.h
@@ -23,10 +23,11 @@
   EndpointId endpoint;
   AvailabilityZone zone;
   membership::Region region;
+  bool operator==(const EndpointLocation&) const = default;
 };
 
 /// @brief Rendezvous hash over the eligible members. Equal member lists give equal answers on every
-/// daemon. Answers are cached until the list changes.
+/// daemon. Answers are cached until the list changes. Move-only.
 class Placement {
  public:
   /// @brief Takes the current member list; cheap when no eligible member came or went.
@@ -50,6 +51,10 @@
     std::uint64_t hash = 0;
     bool operator==(const Candidate&) const = default;
   };
+  struct CachedDispatcher {
+    EndpointLocation location;
+    std::optional<DaemonId> dispatcher;
+  };
   struct Best {
     std::uint64_t score = 0;
     const Candidate* candidate = nullptr;
@@ -62,7 +67,7 @@
   /// Sorted by id; the addresses of the candidates are stable.
   std::vector<std::unique_ptr<Candidate>> candidates_;
   std::vector<Best> shards_ = std::vector<Best>(kShardCount);
-  mutable std::unordered_map<EndpointId, std::optional<DaemonId>> dispatchers_;
+  mutable std::unordered_map<EndpointId, CachedDispatcher> dispatchers_;
   mutable std::unordered_map<OrganisationId, std::optional<DaemonId>> limiters_;
   std::uint64_t version_ = 0;
 };
@@ -115,8 +120,9 @@
   ShardPlanner(ShardPlanner&&) noexcept;
   ShardPlanner& operator=(ShardPlanner&&) noexcept;
 
-  /// @brief Call once or a few times per second. `placement` is updated with `members` already. The
-  /// caller appends the claims and releases that it gets back.
+  /// @brief Call once or a few times per second, and only after the fold has caught up with the
+  /// log: an old claim must not look like a new one. `placement` is updated with `members` already.
+  /// The caller appends the claims and releases that it gets back.
   ShardPlan Plan(MonotonicTime now,
                  const std::vector<membership::Member>& members,
                  const Placement& placement,
--- a/src/membership/gossip_queue.cc
+++ b/src/membership/gossip_queue.cc
@@ -25,11 +25,33 @@
   }
 }
 
-std::uint32_t GossipQueue::TransmissionLimit(NewsKind kind, std::size_t members) {
-  // After 3 log2(n) rounds of rumour spreading the chance that a member has not heard is below
-  // 1/n^2 even with a few per cent of loss. A changed revision affects every member at once, so it
-  // gets 4: that reaches 98 % of them, and each datagram states the revision of its sender anyway.
-  return kind == NewsKind::kRevision ? 4 : 3 * static_cast<std::uint32_t>(std::bit_width(members));
+bool GossipQueue::HasDigestNews() const {
+  return !order_.empty() && std::get<NewsKind>(*order_.begin()) != NewsKind::kRevision;
+}
+
+std::uint32_t GossipQueue::TransmissionLimit(std::size_t members) {
+  // When every member sends news to k random members, a share of about exp(-k) does not hear it:
+  // log2(n) + 3 leaves less than one member in 20 n. Comparing digests repairs the rest.
+  const auto log_members = static_cast<std::uint32_t>(std::bit_width(members));
+  return log_members + 3;
+}
+
+void GossipQueue::CountTransmission(Item item, std::size_t members) {
+  auto& [kind, count, id] = item;
+  order_.erase(item);
+  if (++count >= TransmissionLimit(members)) {
+    transmissions_.erase({id, kind});
+    return;
+  }
+  transmissions_[{id, kind}] = count;
+  order_.insert(item);
+}
+
+void GossipQueue::Heard(const DaemonId& id, NewsKind kind, std::size_t members) {
+  const auto found = transmissions_.find({id, kind});
+  if (found != transmissions_.end()) {
+    CountTransmission({kind, found->second, id}, members);
+  }
 }
 
 void GossipQueue::Visit(std::size_t members,
@@ -41,15 +63,8 @@
     }
     taken.push_back(item);
   }
-  for (Item& item : taken) {
-    auto& [kind, count, id] = item;
-    order_.erase(item);
-    if (++count >= TransmissionLimit(kind, members)) {
-      transmissions_.erase({id, kind});
-      continue;
-    }
-    transmissions_[{id, kind}] = count;
-    order_.insert(item);
+  for (const Item& item : taken) {
+    CountTransmission(item, members);
   }
 }
 
--- a/src/membership/gossip_queue.h
+++ b/src/membership/gossip_queue.h
@@ -21,18 +21,24 @@
  public:
   /// @brief Restarts the transmissions of this news.
   void Push(const DaemonId& id, NewsKind kind);
+  /// @brief Another member sent the same news: counts as a transmission of our own.
+  void Heard(const DaemonId& id, NewsKind kind, std::size_t members);
   void Remove(const DaemonId& id);
+  /// @brief True while there is news of a kind that changes the digest.
+  bool HasDigestNews() const;
   bool empty() const { return order_.empty(); }
   std::size_t size() const { return order_.size(); }
   /// @brief Offers news to `take`, which returns false when the datagram is full. `members` sets
   /// the number of transmissions.
   void Visit(std::size_t members, const std::function<bool(const DaemonId&, NewsKind)>& take);
   /// @brief Transmissions of one piece of news among that many members.
-  static std::uint32_t TransmissionLimit(NewsKind kind, std::size_t members);
+  static std::uint32_t TransmissionLimit(std::size_t members);
 
  private:
   /// Kind, transmissions so far, member.
   using Item = std::tuple<NewsKind, std::uint32_t, DaemonId>;
+  void CountTransmission(Item item, std::size_t members);
+
   std::set<Item> order_;
   std::map<std::pair<DaemonId, NewsKind>, std::uint32_t> transmissions_;
 };
--- a/src/membership/members.cc
+++ b/src/membership/members.cc
@@ -1,6 +1,7 @@
 #include "acaciaspring/membership.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "src/membership/members_impl.h"
@@ -12,6 +13,10 @@
 // The first wave of a leaving announcement; each receiver forwards it to kForwardFanout members at
 // once, so 420 members hear it within a few round trips instead of log2(n) probe periods.
 constexpr std::size_t kLeaveFanout = 12;
+// IPv4 and UDP headers and the MAC.
+constexpr std::size_t kHeaderBytes = 28 + wire::kMacBytes;
+// Unused budget is kept for this many seconds, so that news is not delayed after a quiet time.
+constexpr double kBudgetSeconds = 2;
 
 }  // namespace
 
@@ -73,7 +78,10 @@
       break;
     }
   }
-  room = std::min(room, options.max_piggyback_bytes);
+  budget -= static_cast<double>(kMaxPayloadBytes - room + kHeaderBytes);
+  room = std::min(
+      {room, options.max_piggyback_bytes, static_cast<std::size_t>(std::max(0.0, budget))});
+  const std::size_t room_for_gossip = room;
   gossip.Visit(table.living_peers() + 1, [&](const DaemonId& id, NewsKind kind) {
     const Entry* entry = table.Find(id);
     if (entry == nullptr) {
@@ -92,9 +100,18 @@
     }
     return true;
   });
+  budget -= static_cast<double>(room_for_gossip - room);
   out.push_back(OutgoingDatagram{to, wire::Encode(envelope)});
 }
 
+void Members::Impl::RefillBudget(MonotonicTime now) {
+  const auto rate = static_cast<double>(options.max_sent_bytes_per_second);
+  const Duration elapsed = now - budget_at.value_or(now - std::chrono::seconds(1));
+  budget = std::min(std::max(budget, -rate) + rate * std::chrono::duration<double>(elapsed).count(),
+                    rate * kBudgetSeconds);
+  budget_at = now;
+}
+
 void Members::Impl::Spread(const DaemonId& id, const Change& change) {
   if (change.liveness) {
     gossip.Push(id, NewsKind::kLiveness);
@@ -106,12 +123,15 @@
     gossip.Push(id, NewsKind::kRevision);
   }
   if (change.joined) {
-    // A random position keeps the time until the first probe independent of the round.
-    const std::size_t position = random() % (round.size() + 1);
-    round.insert(round.begin() + static_cast<std::ptrdiff_t>(position), id);
+    JoinRound(id);
   }
 }
 
+void Members::Impl::JoinRound(const DaemonId& id) {
+  const std::size_t position = random() % (round.size() + 1);
+  round.insert(round.begin() + static_cast<std::ptrdiff_t>(position), id);
+}
+
 void Members::Impl::ChangeOwnStatus(Status status) {
   status.version = table.self().status.version + 1;
   Spread(options.self, table.ApplyStatus(table.self(), status));
@@ -155,6 +175,7 @@
 
 std::vector<OutgoingDatagram> Members::Tick(MonotonicTime now) {
   std::vector<OutgoingDatagram> out;
+  impl_->RefillBudget(now);
   impl_->Tick(now, out);
   return out;
 }
@@ -163,6 +184,7 @@
                                                const net::Address& from,
                                                std::string_view payload) {
   std::vector<OutgoingDatagram> out;
+  impl_->RefillBudget(now);
   impl_->Receive(now, from, payload, out);
   return out;
 }
--- a/src/membership/members_impl.h
+++ b/src/membership/members_impl.h
@@ -30,6 +30,12 @@
     std::uint64_t sequence = 0;
     MonotonicTime expires;
   };
+  struct ZoneCensus {
+    /// Members of each zone that are not dead.
+    std::map<AvailabilityZone, std::size_t> present;
+    /// A zone other than this daemon's has a member in state alive.
+    bool other_zone_alive = false;
+  };
   using Datagrams = std::vector<OutgoingDatagram>;
 
   Impl(MembersOptions given, std::mt19937_64 engine);
@@ -38,10 +44,13 @@
   /// @brief Appends a datagram with as many updates as fit. `about` is described first.
   void Send(const net::Address& to, Body body, const std::vector<Update>& about, Datagrams& out);
   void Spread(const DaemonId& id, const Change& change);
+  /// @brief Puts a member at a random position of the round.
+  void JoinRound(const DaemonId& id);
   void ChangeOwnStatus(Status status);
   void Leave(MonotonicTime now, Datagrams& out);
   /// @brief Sends the status of a leaving member to random members at once.
   void SpreadAtOnce(const Entry& leaving, std::size_t fanout, Datagrams& out);
+  void RefillBudget(MonotonicTime now);
   std::vector<const Entry*> LivingPeers() const;
   Update DescribeSelf() const;
 
@@ -55,10 +64,13 @@
   void ProbeHinted(MonotonicTime now, Datagrams& out);
   void Reconnect(Datagrams& out);
   void SendProbe(const Entry& target, MonotonicTime now, Datagrams& out);
-  bool IsConfirmer(const Entry& suspect) const;
+  /// @brief True for the few members of each zone that probe a suspect on hearsay.
+  bool IsConfirmer(const Entry& suspect, const std::vector<DaemonId>& zone_peers) const;
   void Accuse(Entry& target, MonotonicTime now);
   void JudgeSuspects(MonotonicTime now);
-  bool IsDead(const Entry& suspect, MonotonicTime now) const;
+  ZoneCensus CountZones() const;
+  bool AwaitsVerdict(const Entry& suspect, MonotonicTime now) const;
+  bool IsDead(const Entry& suspect, const ZoneCensus& census, MonotonicTime now) const;
   void ForgetDead(MonotonicTime now);
   void Hint(MonotonicTime now, const std::string& ip, VmHint hint);
 
@@ -70,7 +82,8 @@
   /// @brief Checks the sender's run and replay window; false drops the datagram.
   bool Admit(const Envelope& envelope, const net::Address& from, Datagrams& out);
   void TakeSenderState(const Envelope& envelope, MonotonicTime now, Datagrams& out);
-  void TakeUpdate(const Update& update, MonotonicTime now, Datagrams& out);
+  /// @brief `introduction`: the update may tell of a member that the others know already.
+  void TakeUpdate(const Update& update, bool introduction, MonotonicTime now, Datagrams& out);
   void TakeUpdateAboutSelf(const Update& update);
   void TakeBody(const Envelope& envelope,
                 const net::Address& from,
@@ -100,7 +113,12 @@
   std::optional<MonotonicTime> last_tick;
   MonotonicTime next_period;
   MonotonicTime next_sync;
-  std::uint64_t periods = 0;
+  MonotonicTime last_sync;
+  /// Syncs still bring members that were unknown.
+  bool learning = true;
+  /// Bytes that may be sent now; probes and answers can make it negative.
+  double budget = 0;
+  std::optional<MonotonicTime> budget_at;
   std::size_t sync_answers = 0;
   bool superseded = false;
 };
--- a/src/membership/messages.h
+++ b/src/membership/messages.h
@@ -17,7 +17,7 @@
 
 inline constexpr std::size_t kMaxPayloadBytes = wire::kMaxDatagramBytes - wire::kMacBytes;
 inline constexpr std::size_t kMaxNameBytes = 64;
-inline constexpr std::size_t kMaxZones = 8;
+inline constexpr std::size_t kMaxZones = 16;
 inline constexpr std::size_t kDigestBuckets = 32;
 
 /// @brief An IPv4 address in 6 bytes.
@@ -137,13 +137,19 @@
   void serialize(Archive&) {}
 };
 
+/// @brief Carries members of the buckets that differed; no answer follows.
+struct SyncAnswer {
+  template <class Archive>
+  void serialize(Archive&) {}
+};
+
 /// @brief The receiver does not know the profile of the addressed run and asks for it.
 struct ProfileRequest {
   template <class Archive>
   void serialize(Archive&) {}
 };
 
-using Body = std::variant<Probe, ProbeRequest, Ack, SyncRequest, Push, ProfileRequest>;
+using Body = std::variant<Probe, ProbeRequest, Ack, SyncRequest, SyncAnswer, Push, ProfileRequest>;
 
 /// @brief One datagram.
 struct Envelope {
--- a/src/membership/probing.cc
+++ b/src/membership/probing.cc
@@ -12,8 +12,8 @@
 constexpr std::size_t kConfirmersPerZone = 3;
 // Bounds the extra probes of a daemon when a whole zone is suspected.
 constexpr std::size_t kMaxExtraProbes = 4;
-// A dead member or an unknown seed is tried every so many periods.
-constexpr std::uint64_t kReconnectPeriods = 5;
+// Periods between two probes that a dead member or an unknown seed gets from the whole cluster.
+constexpr std::uint64_t kReconnectPeriods = 2;
 // The VM list is polled about once a second; a hint is not worth a probe each time.
 constexpr int kHintPeriods = 10;
 
@@ -81,7 +81,6 @@
 
 void Members::Impl::StartPeriod(MonotonicTime now, Datagrams& out) {
   next_period = std::max(next_period + options.probe_period, now);
-  ++periods;
   sync_answers = 0;
   ForgetDead(now);
   ProbeNext(now, out);
@@ -128,27 +127,32 @@
   }
 }
 
-bool Members::Impl::IsConfirmer(const Entry& suspect) const {
+bool Members::Impl::IsConfirmer(const Entry& suspect,
+                                const std::vector<DaemonId>& zone_peers) const {
   const std::uint64_t seed = Hash64(suspect.member.id.value());
   const std::uint64_t own_rank = Hash64(options.self.value(), seed);
-  std::size_t before = 0;
-  for (const auto& [id, entry] : table.entries()) {
-    const bool candidate = entry.liveness == Liveness::kAlive &&
-                           entry.member.zone == options.zone && id != options.self;
-    if (candidate && Hash64(id.value(), seed) > own_rank) {
-      ++before;
-    }
-  }
-  return before < kConfirmersPerZone;
+  const auto before = std::count_if(zone_peers.begin(), zone_peers.end(), [&](const DaemonId& id) {
+    return Hash64(id.value(), seed) > own_rank;
+  });
+  return static_cast<std::size_t>(before) < kConfirmersPerZone;
 }
 
 void Members::Impl::ProbeSuspects(MonotonicTime now, Datagrams& out) {
+  if (table.suspects().empty()) {
+    return;
+  }
+  std::vector<DaemonId> zone_peers;
+  for (const Entry* peer : LivingPeers()) {
+    if (peer->liveness == Liveness::kAlive && peer->member.zone == options.zone) {
+      zone_peers.push_back(peer->member.id);
+    }
+  }
   std::vector<const Entry*> targets;
   for (const DaemonId& id : table.suspects()) {
     const Entry* suspect = table.Find(id);
     const auto& zones = suspect->confirmed;
     const bool confirmed_here = std::find(zones.begin(), zones.end(), options.zone) != zones.end();
-    if (accused.count(id) != 0 || (!confirmed_here && IsConfirmer(*suspect))) {
+    if (accused.count(id) != 0 || (!confirmed_here && IsConfirmer(*suspect, zone_peers))) {
       targets.push_back(suspect);
     }
   }
@@ -176,9 +180,6 @@
 }
 
 void Members::Impl::Reconnect(Datagrams& out) {
-  if (table.living_peers() != 0 && periods % kReconnectPeriods != 0) {
-    return;
-  }
   struct Target {
     net::Address address;
     DaemonId id;
@@ -198,7 +199,9 @@
       targets.push_back({seed, DaemonId(), {}});
     }
   }
-  if (targets.empty()) {
+  // The cluster as a whole tries each target at a constant rate, whatever its size. A daemon that
+  // knows nobody alive tries one target each period.
+  if (targets.empty() || random() % (kReconnectPeriods * peers.size() + 1) >= targets.size()) {
     return;
   }
   Target& target = targets[random() % targets.size()];
@@ -215,27 +218,38 @@
   }
 }
 
-bool Members::Impl::IsDead(const Entry& suspect, MonotonicTime now) const {
-  const Duration age = now - suspect.since;
-  if (age < options.suspicion_time) {
-    return false;
-  }
-  std::set<AvailabilityZone> present;
-  bool other_zone_alive = false;
+Members::Impl::ZoneCensus Members::Impl::CountZones() const {
+  ZoneCensus census;
   for (const auto& [id, entry] : table.entries()) {
-    if (&entry == &suspect || entry.liveness == Liveness::kDead) {
-      continue;
+    if (entry.liveness != Liveness::kDead) {
+      ++census.present[entry.member.zone];
+      census.other_zone_alive = census.other_zone_alive || (entry.liveness == Liveness::kAlive &&
+                                                            entry.member.zone != options.zone);
     }
-    present.insert(entry.member.zone);
-    other_zone_alive = other_zone_alive ||
-                       (entry.liveness == Liveness::kAlive && entry.member.zone != options.zone);
   }
+  return census;
+}
+
+bool Members::Impl::AwaitsVerdict(const Entry& suspect, MonotonicTime now) const {
+  // Without the own zone's word a death is never declared. When a partition heals, the other side
+  // reports deaths of members that this side reaches, and their refutations need some time.
+  const auto& zones = suspect.confirmed;
+  return now - suspect.since >= options.suspicion_time &&
+         std::find(zones.begin(), zones.end(), options.zone) != zones.end();
+}
+
+bool Members::Impl::IsDead(const Entry& suspect,
+                           const ZoneCensus& census,
+                           MonotonicTime now) const {
   // Suspected members count as present: a zone that is cut off sees all others as suspects and must
-  // not take them for dead just because nobody is left to confirm.
-  if (suspect.confirmed.size() >= std::min<std::size_t>(2, present.size())) {
+  // not take them for dead just because nobody is left to confirm. The suspect itself does not
+  // count, because it cannot confirm.
+  const bool last_of_zone = census.present.at(suspect.member.zone) == 1;
+  const std::size_t zones = census.present.size() - (last_of_zone ? 1 : 0);
+  if (suspect.confirmed.size() >= std::min<std::size_t>(2, zones)) {
     return true;
   }
-  return !other_zone_alive && age >= options.lone_zone_suspicion_time;
+  return !census.other_zone_alive && now - suspect.since >= options.lone_zone_suspicion_time;
 }
 
 void Members::Impl::JudgeSuspects(MonotonicTime now) {
@@ -244,15 +258,20 @@
     return;
   }
   std::erase_if(accused, [&](const DaemonId& id) { return table.suspects().count(id) == 0; });
-  // All verdicts come first: a death changes the number of zones that the next verdict requires.
-  std::vector<Entry*> condemned;
+  std::vector<Entry*> waiting;
   for (const DaemonId& id : table.suspects()) {
     Entry* suspect = table.Find(id);
-    if (IsDead(*suspect, now)) {
-      condemned.push_back(suspect);
+    if (AwaitsVerdict(*suspect, now)) {
+      waiting.push_back(suspect);
     }
   }
-  for (Entry* entry : condemned) {
+  if (waiting.empty()) {
+    return;
+  }
+  // One census for all verdicts: a death changes the number of zones that the next one requires.
+  const ZoneCensus census = CountZones();
+  std::erase_if(waiting, [&](const Entry* entry) { return !IsDead(*entry, census, now); });
+  for (Entry* entry : waiting) {
     table.MarkDead(*entry, now);
     ++counters.deaths;
     gossip.Push(entry->member.id, NewsKind::kLiveness);
--- a/src/membership/receiving.cc
+++ b/src/membership/receiving.cc
@@ -8,11 +8,31 @@
 namespace {
 
 constexpr std::size_t kForwardFanout = 2;
-// Bounds what members that have just started can make a seed send.
+// Bounds what members that have just started can make a seed send. This is not left to the budget,
+// which a seed needs for its answers when all daemons start at once.
 constexpr std::size_t kMaxSyncAnswers = 2;
 constexpr std::size_t kMaxRelays = 64;
 // More than fit into one datagram.
 constexpr std::size_t kMaxSyncUpdates = 40;
+constexpr int kQuietPeriods = 10;
+
+NewsKind NewsKindOf(const Update& update) {
+  return update.Is(UpdateKind::kStatus) ? NewsKind::kRevision : NewsKind::kLiveness;
+}
+
+/// @brief True if the update states what the table already holds.
+bool IsCurrent(const Update& update, const Entry& entry) {
+  if (update.incarnation != entry.member.incarnation) {
+    return false;
+  }
+  if (update.Is(UpdateKind::kStatus)) {
+    return update.status.version == entry.status.version;
+  }
+  const bool same = (update.Is(UpdateKind::kAlive) && entry.liveness == Liveness::kAlive) ||
+                    (update.Is(UpdateKind::kSuspect) && entry.liveness == Liveness::kSuspect) ||
+                    (update.Is(UpdateKind::kDead) && entry.liveness == Liveness::kDead);
+  return same && update.refutation == entry.member.refutation;
+}
 
 }  // namespace
 
@@ -28,8 +48,14 @@
   if (!Admit(*envelope, from, out)) {
     return;
   }
+  const bool sync = std::holds_alternative<SyncAnswer>(envelope->body);
+  const bool introduction = sync || std::holds_alternative<Push>(envelope->body);
+  const std::size_t known_before = table.entries().size();
   for (const Update& update : envelope->updates) {
-    TakeUpdate(update, now, out);
+    TakeUpdate(update, introduction, now, out);
+  }
+  if (sync) {
+    learning = table.entries().size() > known_before;
   }
   TakeSenderState(*envelope, now, out);
   const Entry* sender = table.Find(envelope->sender);
@@ -85,12 +111,26 @@
   }
 }
 
-void Members::Impl::TakeUpdate(const Update& update, MonotonicTime now, Datagrams& out) {
+void Members::Impl::TakeUpdate(const Update& update,
+                               bool introduction,
+                               MonotonicTime now,
+                               Datagrams& out) {
   if (update.id == options.self) {
     TakeUpdateAboutSelf(update);
     return;
   }
-  const Change change = table.Apply(update, now);
+  const bool was_known = table.Find(update.id) != nullptr;
+  Change change = table.Apply(update, now);
+  const Entry* entry = table.Find(update.id);
+  if (entry != nullptr && !change.liveness && !change.flags && !change.revision &&
+      IsCurrent(update, *entry)) {
+    gossip.Heard(update.id, NewsKindOf(update), table.living_peers() + 1);
+  }
+  if (!was_known && introduction && change.joined) {
+    // A daemon that has just started learns about everybody; the others know each other already.
+    JoinRound(update.id);
+    return;
+  }
   Spread(update.id, change);
   if (change.left) {
     SpreadAtOnce(*table.Find(update.id), kForwardFanout, out);
@@ -143,6 +183,7 @@
                  [&](const Ack& ack) { TakeAck(ack, out); },
                  [&](const SyncRequest& request) { AnswerSync(request, from, out); },
                  [](const Push&) {},
+                 [](const SyncAnswer&) {},
                  [&](const ProfileRequest&) { Send(from, Push{}, {DescribeSelf()}, out); },
              },
              envelope.body);
@@ -163,10 +204,18 @@
                               Datagrams& out) {
   const bool exchange =
       std::holds_alternative<Probe>(envelope.body) || std::holds_alternative<Ack>(envelope.body);
-  if (!exchange || envelope.digest == table.digest() || now < next_sync) {
+  if (!exchange || envelope.digest == table.digest()) {
+    return;
+  }
+  // News that is still spreading explains a difference, so it is worth a sync only after a while. A
+  // daemon that has just started and still learns of new members goes on at once.
+  const bool wait = gossip.HasDigestNews() && !learning;
+  if (now < next_sync || budget < 0 ||
+      (wait && now < last_sync + options.probe_period * kQuietPeriods)) {
     return;
   }
   next_sync = now + options.probe_period;
+  last_sync = now;
   ++counters.syncs;
   SyncRequest request;
   std::transform(table.buckets().begin(), table.buckets().end(), request.digests.begin(),
@@ -203,7 +252,7 @@
       updates.push_back(MemberTable::Describe(*entry, UpdateKind::kAlive));
     }
   }
-  Send(from, Push{}, updates, out);
+  Send(from, SyncAnswer{}, updates, out);
 }
 
 }  // namespace acaciaspring::membership
