--- /dev/null
+++ b/src/net/http_exchange.cc
@@ -0,0 +1,210 @@
+#include "src/net/http_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/net/http_message.h"
+#include "src/net/socket_address.h"
+
+namespace acaciaspring::net {
+
+namespace {
+
+std::string MakeHead(const HttpClientRequest& request) {
+  std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+  if (FindHeader(request.headers, "host").empty()) {
+    head += "host: " + request.server.ToString() + "\r\n";
+  }
+  for (const auto& [name, value] : request.headers) {
+    if (!IsFramingHeader(name)) {
+      head += name + ": " + value + "\r\n";
+    }
+  }
+  if (!request.body.empty() || request.method == "POST" || request.method == "PUT") {
+    head += "content-length: " + std::to_string(request.body.size()) + "\r\n";
+  }
+  return head + "connection: keep-alive\r\n\r\n";
+}
+
+bool HasNoSpace(std::string_view text) {
+  return !text.empty() && text.find_first_of(" \t") == std::string_view::npos;
+}
+
+/// @brief True when method, target and headers can be sent as they are.
+bool IsSendable(const HttpClientRequest& request) {
+  return HasNoSpace(request.method) && IsHeaderText(request.method) && HasNoSpace(request.target) &&
+         IsHeaderText(request.target) &&
+         std::all_of(request.headers.begin(), request.headers.end(), [](const auto& header) {
+           return HasNoSpace(header.first) && IsHeaderText(header.first) &&
+                  header.first.find(':') == std::string::npos && IsHeaderText(header.second);
+         });
+}
+
+}  // namespace
+
+HttpExchange::HttpExchange(Loop& loop,
+                           HttpClientRequest request,
+                           HttpCallbacks callbacks,
+                           std::function<void(HttpExchange*)> on_ended)
+    : loop_(loop),
+      request_(std::move(request)),
+      callbacks_(std::move(callbacks)),
+      on_ended_(std::move(on_ended)) {
+  for (auto& [name, value] : request_.headers) {
+    name = LowerCase(name);
+  }
+}
+
+void HttpExchange::Start(const std::shared_ptr<HttpPool>& pool) {
+  ToSocketAddress(request_.server);
+  if (!IsSendable(request_)) {
+    Finish(HttpNotSent{});
+    return;
+  }
+  pool_ = pool;
+  last_activity_ = loop_.Now();
+  ArmTimer(request_.io_timeout);
+  connection_ = pool->Take(request_.server);
+  if (connection_ != nullptr) {
+    connection_->SetEvents(this);
+    OnConnected();
+    return;
+  }
+  connection_ = std::make_shared<HttpConnection>(loop_);
+  connection_->SetEvents(this);
+  connection_->Connect(request_.server);
+}
+
+void HttpExchange::OnConnected() {
+  last_activity_ = loop_.Now();
+  sent_ = true;
+  std::string head = MakeHead(request_);
+  connection_->Send(std::move(head), std::move(request_.body), request_.method != "HEAD");
+}
+
+void HttpExchange::OnReceived() {
+  last_activity_ = loop_.Now();
+}
+
+void HttpExchange::OnHead(int status, const Headers& headers) {
+  const auto self = shared_from_this();
+  status_ = status;
+  if (callbacks_.on_head) {
+    in_callback_ = true;
+    callbacks_.on_head(status, headers);
+    in_callback_ = false;
+    if (ended_) {
+      ReleaseCallbacks();
+    }
+  }
+}
+
+void HttpExchange::OnData(std::string_view data) {
+  const auto self = shared_from_this();
+  if (callbacks_.on_data) {
+    in_callback_ = true;
+    callbacks_.on_data(data);
+    in_callback_ = false;
+    if (ended_) {
+      ReleaseCallbacks();
+    }
+  }
+}
+
+void HttpExchange::OnComplete(bool reusable) {
+  const auto connection = std::exchange(connection_, nullptr);
+  if (reusable) {
+    if (const auto pool = pool_.lock()) {
+      pool->Return(request_.server, connection);
+    } else {
+      connection->Close();
+    }
+  }
+  Finish(HttpFinished{.status = status_});
+}
+
+void HttpExchange::OnBroken() {
+  connection_.reset();
+  if (sent_) {
+    Finish(HttpInterrupted{});
+  } else {
+    Finish(HttpNotSent{});
+  }
+}
+
+void HttpExchange::ArmTimer(Duration delay) {
+  timer_ = loop_.After(delay, [this] { OnTimer(); });
+}
+
+void HttpExchange::OnTimer() {
+  // The timer is not restarted with each received byte; it finds out here how old the last is.
+  const Duration silence = loop_.Now() - last_activity_;
+  if (silence < request_.io_timeout) {
+    ArmTimer(request_.io_timeout - silence);
+    return;
+  }
+  connection_->Close();
+  connection_.reset();
+  if (sent_) {
+    Finish(HttpInterrupted{.timed_out = true});
+  } else {
+    Finish(HttpNotSent{});
+  }
+}
+
+void HttpExchange::Finish(const HttpResult& result) {
+  finished_ = true;
+  result_ = result;
+  timer_.Cancel();
+  // Called from the loop, so that on_done is never called from within Send and may destroy the
+  // client.
+  loop_.Post([self = shared_from_this()] { self->Report(); });
+}
+
+void HttpExchange::Report() {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  const auto on_done = std::move(callbacks_.on_done);
+  ReleaseCallbacks();
+  if (on_done) {
+    on_done(result_);
+  }
+}
+
+void HttpExchange::Cancel() {
+  if (ended_) {
+    return;
+  }
+  const auto self = shared_from_this();
+  ended_ = true;
+  timer_.Cancel();
+  if (connection_ != nullptr) {
+    connection_->Close();
+    connection_.reset();
+  }
+  if (!in_callback_) {
+    ReleaseCallbacks();
+  }
+}
+
+void HttpExchange::SetIoTimeout(Duration timeout) {
+  if (ended_ || finished_) {
+    return;
+  }
+  request_.io_timeout = timeout;
+  // An already late exchange ends from the loop, as any other.
+  ArmTimer(std::max(Duration(0),
+                    timeout - std::chrono::duration_cast<Duration>(loop_.Now() - last_activity_)));
+}
+
+void HttpExchange::ReleaseCallbacks() {
+  // The callbacks may own the handle of this exchange, whose destructor calls back.
+  const HttpCallbacks released = std::exchange(callbacks_, {});
+  if (const auto on_ended = std::exchange(on_ended_, nullptr)) {
+    on_ended(this);
+  }
+}
+
+}  // namespace acaciaspring::net
--- /dev/null
+++ b/src/net/http_exchange.h
@@ -0,0 +1,63 @@
+#ifndef ACACIASPRING_SRC_NET_HTTP_EXCHANGE_H_
+#define ACACIASPRING_SRC_NET_HTTP_EXCHANGE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "acaciaspring/net.h"
+#include "src/net/http_connection.h"
+#include "src/net/http_pool.h"
+
+namespace acaciaspring::net {
+
+/// @brief One request of the HTTP client and its answer.
+class HttpExchange : public HttpConnection::Events,
+                     public std::enable_shared_from_this<HttpExchange> {
+ public:
+  /// @brief `on_ended` is called once, when no callback follows.
+  HttpExchange(Loop& loop,
+               HttpClientRequest request,
+               HttpCallbacks callbacks,
+               std::function<void(HttpExchange*)> on_ended);
+
+  /// @brief Throws AddressError.
+  void Start(const std::shared_ptr<HttpPool>& pool);
+  void Cancel();
+  void SetIoTimeout(Duration timeout);
+
+  void OnConnected() override;
+  void OnReceived() override;
+  void OnHead(int status, const Headers& headers) override;
+  void OnData(std::string_view data) override;
+  void OnComplete(bool reusable) override;
+  void OnBroken() override;
+
+ private:
+  void ArmTimer(Duration delay);
+  void OnTimer();
+  void Finish(const HttpResult& result);
+  void Report();
+  void ReleaseCallbacks();
+
+  Loop& loop_;
+  HttpClientRequest request_;
+  HttpCallbacks callbacks_;
+  std::function<void(HttpExchange*)> on_ended_;
+  std::weak_ptr<HttpPool> pool_;
+  std::shared_ptr<HttpConnection> connection_;
+  Timer timer_;
+  MonotonicTime last_activity_;
+  int status_ = 0;
+  HttpResult result_;
+  /// Bytes of the request may have been handed to the socket.
+  bool sent_ = false;
+  bool in_callback_ = false;
+  /// No callback follows.
+  bool ended_ = false;
+  bool finished_ = false;
+};
+
+}  // namespace acaciaspring::net
+
+#endif  // ACACIASPRING_SRC_NET_HTTP_EXCHANGE_H_
