--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -9,20 +9,21 @@
   fakes/faults.cc fakes/kv_holds.cc fakes/log_stream.cc fakes/prefix_cache.cc)
 target_link_libraries(acaciaspring_fake_models PUBLIC acaciaspring_answer)
 
-add_library(acaciaspring_fake_service STATIC fakes/close_connection.cc fakes/run_fake.cc fakes/service.cc)
+add_library(acaciaspring_fake_service STATIC fakes/close_connection.cc fakes/engine_streams.cc fakes/fake_engine.cc
+  fakes/fake_log.cc fakes/run_fake.cc fakes/service.cc)
 target_link_libraries(acaciaspring_fake_service PUBLIC acaciaspring_fake_models acaciaspring_net PkgConfig::GLOG
   Boost::program_options)
 
-acaciaspring_program(fake_log SOURCES fakes/fake_log.cc DEPENDS acaciaspring_fake_service)
-acaciaspring_program(fake_engine SOURCES fakes/fake_engine.cc fakes/engine_streams.cc
-  DEPENDS acaciaspring_fake_service)
+acaciaspring_program(fake_log SOURCES fakes/fake_log_main.cc DEPENDS acaciaspring_fake_service)
+acaciaspring_program(fake_engine SOURCES fakes/fake_engine_main.cc DEPENDS acaciaspring_fake_service)
 acaciaspring_program(fake_tools SOURCES fakes/fake_tools.cc DEPENDS acaciaspring_fake_service)
 acaciaspring_program(fake_vms SOURCES fakes/fake_vms.cc DEPENDS acaciaspring_fake_service)
 acaciaspring_program(fake_weights SOURCES fakes/fake_weights.cc DEPENDS acaciaspring_fake_service)
 
 add_executable(fakes_test fakes/answer_test.cc fakes/cache_events_test.cc fakes/engine_batch_test.cc
-  fakes/engine_orders_test.cc fakes/log_stream_test.cc fakes/prefix_cache_test.cc src/main/test_main.cc)
-target_link_libraries(fakes_test PRIVATE acaciaspring_fake_models Boost::unit_test_framework)
+  fakes/engine_orders_test.cc fakes/fake_engine_test.cc fakes/fake_log_test.cc fakes/log_stream_test.cc
+  fakes/prefix_cache_test.cc src/main/test_main.cc)
+target_link_libraries(fakes_test PRIVATE acaciaspring_fake_service Boost::unit_test_framework)
 add_test(NAME fakes COMMAND fakes_test --log_level=test_suite)
 
 
--- a/fakes/fake_engine.h
+++ b/fakes/fake_engine.h
@@ -34,6 +34,7 @@
 class FakeEngine {
  public:
   FakeEngine(net::Loop& loop, const net::Address& listen, const EngineOptions& options);
+  net::Address address() const { return service_.address(); }
 
  private:
   using RequestId = EngineBatch::RequestId;
--- a/fakes/service.h
+++ b/fakes/service.h
@@ -76,6 +76,7 @@
   void After(Duration delay, std::function<void()> callback);
   FaultSwitches& faults() { return faults_; }
   net::Loop& loop() { return loop_; }
+  net::Address address() const { return server_.address(); }
 
  private:
   struct RouteEntry {
