--- /dev/null
+++ b/src/load/first_token_comparison_test.cc
@@ -0,0 +1,40 @@
+#include "src/load/first_token_comparison.h"
+
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+
+#include "fakes/fake_engine.h"
+#include "src/load/test_system.h"
+
+namespace acaciaspring::load {
+
+// Both paths must get the same number of calls; a path without samples would show no added time.
+BOOST_AUTO_TEST_CASE(comparison_measures_both_paths) {
+  net::Loop loop;
+  TestSystem system(loop, {});
+  fakes::FakeEngine engine(loop, net::ParseAddress("127.0.0.1:0"), {});
+  LoadOptions options;
+  options.entries = {system.address()};
+  options.organisation_keys = {"key"};
+  options.programs = 10;
+  options.rate = 200;
+  options.run_id = "run";
+  options.direct = engine.address();
+  net::HttpClient client(loop, {});
+  EntryDirectory directory(loop, client, options.entries, "key", 1);
+  Report report;
+  FirstTokenComparison comparison({loop, client, directory, options, report},
+                                  [&loop] { loop.Stop(); });
+  directory.Start([&comparison] { comparison.Start(); });
+  const net::Timer limit = loop.After(std::chrono::seconds(60), [&loop] { loop.Stop(); });
+  loop.Run();
+  std::ostringstream out;
+  comparison.Print(out);
+  BOOST_TEST(out.str().find("direct_calls 10 count\n") != std::string::npos);
+  BOOST_TEST(out.str().find("entries_calls 10 count\n") != std::string::npos);
+  BOOST_TEST(out.str().find("calls_without_answer 0 count\n") != std::string::npos);
+  BOOST_TEST(out.str().find("first_token_added_p99 ") != std::string::npos);
+  BOOST_TEST(report.correct());
+}
+
+}  // namespace acaciaspring::load
