--- /dev/null
+++ b/src/bench/dispatcher.cc
@@ -0,0 +1,168 @@
+#include "src/bench/dispatcher.h"
+
+#include <algorithm>
+
+#include "src/bench/placement.h"
+
+namespace acaciaspring::bench {
+namespace {
+
+EndpointQueueOptions QueueOptions(const Deployment& deployment, const Strategy& strategy) {
+  EndpointQueueOptions options;
+  for (const ClassSpec& spec : deployment.classes) {
+    options.classes.push_back(spec.policy);
+  }
+  const bool policy = strategy.router == Router::kPolicy;
+  options.order_by_class = policy && strategy.order_by_class;
+  options.keep_minimum_shares = policy && strategy.minimum_shares;
+  options.fair_organisations = policy && strategy.fair_organisations;
+  options.least_attained_service = policy && strategy.least_attained_service;
+  options.capacity = 1'000'000;
+  return options;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(const Deployment& deployment,
+                       const Strategy& strategy,
+                       const EngineOptions& engine_options)
+    : engine(engine_options),
+      strategy_(strategy),
+      queue_(QueueOptions(deployment, strategy)),
+      admission_({.enabled = strategy.router == Router::kPolicy && strategy.admission}),
+      refused_in_time_(deployment.classes.size()) {}
+
+std::uint32_t Dispatcher::Rank(const PriorityClassId& priority_class) const {
+  return queue_.Policy(priority_class).rank;
+}
+
+EndpointOccupancy Dispatcher::Occupancy() const {
+  return {.running = engine.running(),
+          .concurrency = engine.options().slots,
+          .cost_per_second = engine.options().slots * mean_cost_ / mean_duration_s_,
+          .mean_call_cost = mean_cost_};
+}
+
+std::optional<NotRun> Dispatcher::Submit(const Submission& submission, double now) {
+  const QueuedCall& call = submission.queued;
+  const auto decision = admission_.Decide(queue_, call, Occupancy(), At(now));
+  if (const auto* refusal = std::get_if<NotRun>(&decision)) {
+    const auto& policy = queue_.Policy(call.priority_class);
+    ghosts_.push_back({.rank = policy.rank,
+                       .enqueued_at = At(now),
+                       .target = At(now) + policy.first_token_target});
+    return *refusal;
+  }
+  waiting_.emplace(call.id, submission.stream);
+  queue_.Push(call);
+  return std::nullopt;
+}
+
+void Dispatcher::FillSlots(double now) {
+  while (!queue_.empty()) {
+    if (engine.full() && !PauseOne(now)) {
+      return;
+    }
+    const auto call = queue_.Pop(At(now));
+    if (!call) {
+      return;
+    }
+    ServeGhost(*call, At(now));
+    Run(*call, now);
+  }
+  // With free slots every refused call would start now.
+  for (const Ghost& ghost : ghosts_) {
+    refused_in_time_[ghost.rank] += ghost.target >= At(now) ? 1 : 0;
+  }
+  ghosts_.clear();
+}
+
+void Dispatcher::Run(QueuedCall call, double now) {
+  const auto waiting = waiting_.find(call.id);
+  engine.Start(waiting->second, now);
+  waiting_.erase(waiting);
+  const auto paused = paused_.find(call.id);
+  running_[call.id] = {.queued = std::move(call),
+                       .pauses = paused == paused_.end() ? 0 : paused->second};
+}
+
+bool Dispatcher::PauseOne(double now) {
+  if (strategy_.router != Router::kPolicy || !strategy_.preemption) {
+    return false;
+  }
+  std::vector<RunningCall> candidates;
+  for (const Stream& stream : engine.streams()) {
+    const Running& running = running_.at(QueuedCallId(stream.call));
+    const auto expected = running.queued.expected_output.value();
+    candidates.push_back({.id = QueuedCallId(stream.call),
+                          .priority_class = running.queued.priority_class,
+                          .expected_remaining = TokenCount(
+                              expected - std::min<std::uint64_t>(expected, stream.generated)),
+                          .pauses = running.pauses,
+                          // A stream in its prefill would lose what it has computed.
+                          .resumable = stream.prefill_left <= 0});
+  }
+  const auto chosen = ChoosePreemption(queue_, candidates);
+  if (!chosen) {
+    return false;
+  }
+  ++pauses_;
+  Stream stream = engine.Pause(chosen->value(), now);
+  QueuedCall call = running_.at(*chosen).queued;
+  paused_[*chosen] = running_.at(*chosen).pauses + 1;
+  running_.erase(*chosen);
+  queue_.OnServed(call, call.expected_prompt, TokenCount(stream.generated));
+  const auto expected = call.expected_output.value();
+  call.expected_output = TokenCount(
+      std::max<std::uint64_t>(32, expected - std::min<std::uint64_t>(expected, stream.generated)));
+  call.expected_prompt = TokenCount(0);
+  call.attained_service += TokenCount(stream.generated);
+  call.served_below_share = false;
+  waiting_.emplace(call.id, stream);
+  queue_.Push(call);
+  return true;
+}
+
+void Dispatcher::ServeGhost(const QueuedCall& popped, MonotonicTime now) {
+  std::erase_if(ghosts_, [now](const Ghost& ghost) { return ghost.target < now; });
+  const std::uint32_t rank = Rank(popped.priority_class);
+  const auto ghost = std::ranges::find_if(ghosts_, [&](const Ghost& candidate) {
+    return !popped.served_below_share &&
+           (candidate.rank < rank ||
+            (candidate.rank == rank && candidate.enqueued_at < popped.enqueued_at));
+  });
+  if (ghost != ghosts_.end()) {
+    ++refused_in_time_[ghost->rank];
+    ghosts_.erase(ghost);
+  }
+}
+
+void Dispatcher::OnEnded(const Stream& stream, double duration_s) {
+  constexpr double kWeight = 0.05;
+  const auto found = running_.find(QueuedCallId(stream.call));
+  QueuedCall actual = found->second.queued;
+  actual.expected_prompt = TokenCount(stream.prompt - std::min(stream.prompt, stream.cached));
+  actual.expected_output = TokenCount(stream.output);
+  queue_.OnServed(found->second.queued, actual.expected_prompt, actual.expected_output);
+  mean_cost_ += kWeight * (queue_.Cost(actual) - mean_cost_);
+  mean_duration_s_ += kWeight * (duration_s - mean_duration_s_);
+  running_.erase(found);
+  paused_.erase(QueuedCallId(stream.call));
+}
+
+std::vector<std::uint64_t> Dispatcher::Fail() {
+  std::vector<std::uint64_t> calls;
+  for (const auto& [id, stream] : waiting_) {
+    calls.push_back(id.value());
+  }
+  for (const auto& [id, running] : running_) {
+    calls.push_back(id.value());
+  }
+  std::ranges::sort(calls);
+  waiting_.clear();
+  running_.clear();
+  lost = true;
+  return calls;
+}
+
+}  // namespace acaciaspring::bench
--- /dev/null
+++ b/src/bench/report.cc
@@ -0,0 +1,168 @@
+#include "src/bench/report.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <numeric>
+
+namespace acaciaspring::bench {
+namespace {
+
+double Mean(const std::vector<double>& values) {
+  if (values.empty()) {
+    return 0;
+  }
+  return std::accumulate(values.begin(), values.end(), 0.0) / static_cast<double>(values.size());
+}
+
+double Quantile(std::vector<double> values, double q) {
+  if (values.empty()) {
+    return 0;
+  }
+  const auto rank = static_cast<std::size_t>(q * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(rank),
+                   values.end());
+  return values[rank];
+}
+
+double Ratio(double part, double whole) {
+  return whole > 0 ? part / whole : 0;
+}
+
+// Part of its offered work, or of its fair share of all served work if that is less, that the
+// worst treated organisation other than the flooding one got.
+double WorstOrganisation(const RunResult& result) {
+  const auto& served = result.organisation_served;
+  const double total = std::accumulate(served.begin(), served.end(), 0.0);
+  const double fair = total / static_cast<double>(served.size());
+  double worst = HUGE_VAL;
+  for (std::size_t i = 0; i < served.size(); ++i) {
+    if (i != kFloodingOrganisation) {
+      worst = std::min(worst, Ratio(served[i], std::min(fair, result.organisation_offered[i])));
+    }
+  }
+  return worst;
+}
+
+std::string ClassName(const Deployment& deployment, std::size_t c) {
+  return deployment.classes[c].policy.id.value();
+}
+
+}  // namespace
+
+double Metric::Median() const {
+  return Quantile(values, 0.5);
+}
+
+void AddRun(Metrics& metrics,
+            const Deployment& deployment,
+            Workload workload,
+            const Strategy& strategy,
+            const RunResult& result) {
+  const std::string prefix =
+      deployment.name + "." + std::string(Name(workload)) + "." + strategy.name + ".";
+  const auto add = [&](const std::string& name, double value, const char* unit) {
+    Metric& metric = metrics[prefix + name];
+    metric.unit = unit;
+    metric.values.push_back(value);
+  };
+  double served = 0;
+  for (const ClassResult& one : result.classes) {
+    served += one.served_cost;
+  }
+  std::vector<double> all;
+  for (std::size_t c = 0; c < result.classes.size(); ++c) {
+    const ClassResult& one = result.classes[c];
+    const std::string name = deployment.classes[c].policy.id.value() + ".";
+    const auto programs = static_cast<double>(one.programs);
+    all.insert(all.end(), one.latency_s.begin(), one.latency_s.end());
+    add(name + "latency_mean", Mean(one.latency_s), "s");
+    add(name + "latency_p50", Quantile(one.latency_s, 0.5), "s");
+    add(name + "latency_p95", Quantile(one.latency_s, 0.95), "s");
+    add(name + "latency_p99", Quantile(one.latency_s, 0.99), "s");
+    add(name + "wait_p99", 1000 * Quantile(one.wait_s, 0.99), "ms");
+    add(name + "programs", programs, "count");
+    add(name + "refusals", static_cast<double>(one.refusals), "count");
+    add(name + "refused_in_time", static_cast<double>(one.refused_in_time), "count");
+    add(name + "refused_programs", Ratio(static_cast<double>(one.refused_programs), programs),
+        "ratio");
+    add(name + "unfinished", Ratio(static_cast<double>(one.unfinished), programs), "ratio");
+    add(name + "served_share", Ratio(one.served_cost, served), "ratio");
+    add(name + "served_of_offered", Ratio(one.served_cost, one.offered_cost), "ratio");
+    const double entitled =
+        std::min(deployment.classes[c].policy.minimum_share * served, one.offered_cost);
+    add(name + "served_of_minimum", entitled > 0 ? one.served_cost / entitled : 1, "ratio");
+  }
+  add("all.latency_mean", Mean(all), "s");
+  add("all.wasted_prefill", Ratio(result.wasted_tokens, result.prompt_tokens), "ratio");
+  add("all.wasted_tokens", result.wasted_tokens, "tokens");
+  add("all.pauses", static_cast<double>(result.pauses), "count");
+  add("all.worst_organisation", WorstOrganisation(result), "ratio");
+}
+
+void AddTargets(Metrics& metrics, const Deployment& deployment) {
+  const auto find = [&](Workload workload, const char* strategy, const std::string& name) {
+    return metrics.find(deployment.name + "." + std::string(Name(workload)) + "." + strategy + "." +
+                        name);
+  };
+  const auto add = [&](const std::string& name, const char* bound, auto first, auto second,
+                       const std::function<double(double, double)>& value,
+                       const std::function<bool(double)>& met) {
+    if (first == metrics.end() || second == metrics.end()) {
+      return;
+    }
+    Metric target;
+    for (std::size_t i = 0; i < first->second.values.size(); ++i) {
+      target.values.push_back(value(first->second.values[i], second->second.values[i]));
+    }
+    target.unit =
+        std::string("ratio(target") + bound + "," + (met(target.Median()) ? "met" : "missed") + ")";
+    metrics[deployment.name + ".target." + name] = target;
+  };
+  const auto divide = [](double a, double b) { return Ratio(a, b); };
+  const auto same = [](double a, double) { return a; };
+  const std::string urgent = ClassName(deployment, 0);
+  add("urgent_wait_p99_in_least_urgent_flood", "<=1.2",
+      find(Workload::kLeastUrgentFlood, "policy", urgent + ".wait_p99"),
+      find(Workload::kNormal, "policy", urgent + ".wait_p99"), divide,
+      [](double v) { return v <= 1.2; });
+  for (std::size_t c = 1; c < deployment.classes.size(); ++c) {
+    const auto kept =
+        find(Workload::kMostUrgentFlood, "policy", ClassName(deployment, c) + ".served_of_minimum");
+    add(ClassName(deployment, c) + "_share_of_minimum_in_most_urgent_flood", ">=1", kept, kept,
+        same, [](double v) { return v >= 1; });
+  }
+  add("mean_latency_over_least_loaded", "<=0.7",
+      find(Workload::kNormal, "policy", "all.latency_mean"),
+      find(Workload::kNormal, "least-loaded", "all.latency_mean"), divide,
+      [](double v) { return v <= 0.7; });
+  add("wasted_prefill_over_least_loaded", "<=0.25",
+      find(Workload::kNormal, "policy", "all.wasted_tokens"),
+      find(Workload::kNormal, "least-loaded", "all.wasted_tokens"), divide,
+      [](double v) { return v <= 0.25; });
+  const auto worst = find(Workload::kOrganisationFlood, "policy", "all.worst_organisation");
+  add("worst_organisation_of_fair_share", ">=1", worst, worst, same,
+      [](double v) { return v >= 1; });
+}
+
+void Print(std::ostream& out, const Metrics& metrics, bool csv) {
+  const char separator = csv ? ',' : ' ';
+  if (csv) {
+    out << "name,value,unit,min,max\n";
+  }
+  for (const auto& [name, metric] : metrics) {
+    const auto [low, high] = std::ranges::minmax(metric.values);
+    if (csv) {
+      out << name << ',' << metric.Median() << ",\"" << metric.unit << "\"," << low << ',' << high
+          << '\n';
+      continue;
+    }
+    out << name << separator << metric.Median() << separator << metric.unit << '\n';
+    if (metric.values.size() > 1) {
+      out << name << ".min" << separator << low << separator << metric.unit << '\n';
+      out << name << ".max" << separator << high << separator << metric.unit << '\n';
+    }
+  }
+}
+
+}  // namespace acaciaspring::bench
--- /dev/null
+++ b/src/bench/report.h
@@ -0,0 +1,38 @@
+#ifndef ACACIASPRING_SRC_BENCH_REPORT_H_
+#define ACACIASPRING_SRC_BENCH_REPORT_H_
+
+#include <map>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "src/bench/simulation.h"
+
+namespace acaciaspring::bench {
+
+struct Metric {
+  std::string unit;
+  /// One value per repeat.
+  std::vector<double> values;
+  double Median() const;
+};
+
+/// @brief Metrics by name, "deployment.workload.strategy.class.metric".
+using Metrics = std::map<std::string, Metric>;
+
+/// @brief Adds the figures of one run.
+void AddRun(Metrics& metrics,
+            const Deployment& deployment,
+            Workload workload,
+            const Strategy& strategy,
+            const RunResult& result);
+
+/// @brief Adds the targets that the metrics allow to compute, as "deployment.target.name".
+void AddTargets(Metrics& metrics, const Deployment& deployment);
+
+/// @brief One "name value unit" a line, with the spread over the repeats as min and max.
+void Print(std::ostream& out, const Metrics& metrics, bool csv);
+
+}  // namespace acaciaspring::bench
+
+#endif  // ACACIASPRING_SRC_BENCH_REPORT_H_
--- /dev/null
+++ b/src/main/decision_bench.cc
@@ -0,0 +1,159 @@
+#include <benchmark/benchmark.h>
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include "acaciaspring/routing.h"
+#include "acaciaspring/scheduling.h"
+
+namespace acaciaspring {
+namespace {
+
+const ServiceId kModel("model");
+constexpr std::uint64_t kPrograms = 20'000;
+constexpr std::uint64_t kOrganisations = 330;
+
+MonotonicTime At(std::uint64_t us) {
+  return MonotonicTime(Duration(static_cast<Duration::rep>(us)));
+}
+
+EndpointId Endpoint(std::uint64_t number) {
+  return EndpointId("engine-" + std::to_string(number));
+}
+
+// Time to place one call, with the bookkeeping of its start and end.
+void ChooseEndpoint(benchmark::State& state) {
+  const auto endpoints = static_cast<std::uint64_t>(state.range(0));
+  EndpointChooser chooser;
+  std::mt19937_64 random(1);
+  for (std::uint64_t i = 0; i < endpoints; ++i) {
+    chooser.SetEndpoint({.id = Endpoint(i),
+                         .zone = AvailabilityZone("zone" + std::to_string(i % 5)),
+                         .services = {kModel},
+                         .speed = {.prefill_tokens_per_second = 8000,
+                                   .token_interval = std::chrono::milliseconds(20),
+                                   .token_interval_per_stream = std::chrono::milliseconds(1),
+                                   .concurrency = 16}});
+  }
+  for (std::uint64_t i = 0; i < kPrograms; ++i) {
+    for (int holder = 0; holder < 4; ++holder) {
+      chooser.cache().OnCompletion(Endpoint(random() % endpoints), PrefixId(i), TokenCount(5000),
+                                   At(0));
+    }
+  }
+  std::uint64_t now = 0;
+  for ([[maybe_unused]] auto unused : state) {
+    ++now;
+    const RoutingRequest request{.service = kModel,
+                                 .zone = AvailabilityZone("zone1"),
+                                 .program_prefix = PrefixId(random() % kPrograms),
+                                 .shared_prefix = SharedPrefix{.prefix = PrefixId(random() % 50),
+                                                               .tokens = TokenCount(3000)},
+                                 .prompt = TokenCount(6000),
+                                 .expected_output = TokenCount(150)};
+    const auto choice = chooser.Choose(request, At(now), random);
+    chooser.OnStarted(InFlightId(now), request, *choice, At(now));
+    chooser.OnFinished(InFlightId(now), TokenCount(6150), At(now));
+    benchmark::DoNotOptimize(choice);
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(ChooseEndpoint)->Arg(12)->Arg(50)->Arg(150)->Arg(300)->Arg(610)->Complexity();
+
+QueuedCall DrawCall(std::uint64_t id, std::mt19937_64& random) {
+  static const std::vector<PriorityClassId> kClasses{
+      PriorityClassId("urgent"), PriorityClassId("normal"), PriorityClassId("batch")};
+  QueuedCall call;
+  call.id = QueuedCallId(id);
+  call.organisation = OrganisationId("organisation-" + std::to_string(random() % kOrganisations));
+  call.program = ProgramId("program-" + std::to_string(random() % kPrograms));
+  call.root_program = call.program;
+  call.priority_class = kClasses[random() % kClasses.size()];
+  call.attained_service = TokenCount(random() % 300'000);
+  call.expected_prompt = TokenCount(random() % 20'000);
+  call.expected_output = TokenCount(random() % 1000);
+  call.enqueued_at = At(id);
+  call.deadline = At(id + 3'600'000'000);
+  return call;
+}
+
+EndpointQueue FilledQueue(std::uint64_t calls, std::mt19937_64& random) {
+  EndpointQueueOptions options;
+  options.classes = {{.id = PriorityClassId("urgent"), .rank = 0},
+                     {.id = PriorityClassId("normal"), .rank = 1, .minimum_share = 0.2},
+                     {.id = PriorityClassId("batch"), .rank = 2, .minimum_share = 0.1}};
+  options.capacity = calls + 1;
+  EndpointQueue queue(options);
+  for (std::uint64_t i = 0; i < calls; ++i) {
+    queue.Push(DrawCall(i, random));
+  }
+  return queue;
+}
+
+// Time to take the next call and to queue another, at a constant queue length. Calls are drawn
+// beforehand.
+void PopAndPush(benchmark::State& state) {
+  std::mt19937_64 random(1);
+  auto id = static_cast<std::uint64_t>(state.range(0));
+  EndpointQueue queue = FilledQueue(id, random);
+  std::vector<QueuedCall> drawn;
+  for (int i = 0; i < 4096; ++i) {
+    drawn.push_back(DrawCall(0, random));
+  }
+  for ([[maybe_unused]] auto unused : state) {
+    QueuedCall next = drawn[++id % drawn.size()];
+    next.id = QueuedCallId(id);
+    next.enqueued_at = At(id);
+    auto call = queue.Pop(At(id));
+    benchmark::DoNotOptimize(call);
+    queue.Push(std::move(next));
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(PopAndPush)->Arg(100)->Arg(1000)->Arg(3000)->Arg(10'000)->Complexity();
+
+void Admit(benchmark::State& state) {
+  std::mt19937_64 random(1);
+  const auto calls = static_cast<std::uint64_t>(state.range(0));
+  EndpointQueue queue = FilledQueue(calls, random);
+  Admission admission;
+  const EndpointOccupancy endpoint{
+      .running = 16, .concurrency = 16, .cost_per_second = 1000, .mean_call_cost = 500};
+  std::vector<QueuedCall> drawn;
+  for (int i = 0; i < 4096; ++i) {
+    drawn.push_back(DrawCall(calls, random));
+  }
+  std::uint64_t now = 0;
+  for ([[maybe_unused]] auto unused : state) {
+    ++now;
+    auto decision = admission.Decide(queue, drawn[now % drawn.size()], endpoint, At(now));
+    benchmark::DoNotOptimize(decision);
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(Admit)->Arg(100)->Arg(1000)->Arg(3000)->Arg(10'000)->Complexity();
+
+void ChoosePausedStream(benchmark::State& state) {
+  std::mt19937_64 random(1);
+  EndpointQueue queue = FilledQueue(1000, random);
+  std::vector<RunningCall> running;
+  for (std::uint64_t i = 0; i < static_cast<std::uint64_t>(state.range(0)); ++i) {
+    running.push_back({.id = QueuedCallId(i),
+                       .priority_class = PriorityClassId(i % 2 == 0 ? "normal" : "batch"),
+                       .expected_remaining = TokenCount(100 + i),
+                       .pauses = 0,
+                       .resumable = true});
+  }
+  for ([[maybe_unused]] auto unused : state) {
+    auto chosen = ChoosePreemption(queue, running);
+    benchmark::DoNotOptimize(chosen);
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(ChoosePausedStream)->Arg(16)->Arg(64)->Arg(256)->Complexity();
+
+}  // namespace
+}  // namespace acaciaspring
+
+BENCHMARK_MAIN();
--- a/src/scheduling/admission.cc
+++ b/src/scheduling/admission.cc
@@ -50,7 +50,7 @@
                                              static_cast<double>(options_.min_retry_after_ms),
                                              static_cast<double>(options_.max_retry_after_ms));
     return NotRun{.reason = NotRunReason::kOverloaded,
-                  .retry_after_ms = static_cast<std::uint32_t>(retry_after_ms)};
+                  .retry_after_ms = static_cast<std::uint32_t>(std::lround(retry_after_ms))};
   }
   OnAdmitted(policy.rank, queue.Cost(call), now);
   return Admitted{.predicted_wait = FromSeconds(wait)};
