--- a/include/acaciaspring/scheduling.h
+++ b/include/acaciaspring/scheduling.h
@@ -86,6 +86,8 @@
   double urgent = 0;
   /// Cost of the call's own class that precedes it.
   double own_class = 0;
+  /// Cost that the class has received beyond its minimum share and that its share must repay first.
+  double own_debt = 0;
   /// Sum of the minimum shares of the less urgent classes with queued calls.
   double lower_shares = 0;
 };
@@ -116,6 +118,8 @@
   double Cost(const QueuedCall& call) const;
   /// @brief Most urgent class with queued calls.
   std::optional<PriorityClassId> MostUrgentClass() const;
+  /// @brief Class of the call that Pop would return.
+  std::optional<PriorityClassId> NextClass() const;
   /// @brief Whether the class has received less than its minimum share during contention.
   bool BelowMinimumShare(const PriorityClassId& priority_class) const;
   const PriorityClassPolicy& Policy(const PriorityClassId& priority_class) const;
@@ -364,8 +368,8 @@
 };
 
 /// @brief Chooses the stream to pause for the most urgent queued call on a full endpoint.
-/// @return none if nothing less urgent runs that may be paused, or if the classes below are owed
-/// their minimum share.
+/// @return none if nothing runs that may be paused and is less urgent than both the urgent call and
+/// the call that would get the slot, which may be one of a class that is owed its minimum share.
 std::optional<QueuedCallId> ChoosePreemption(const EndpointQueue& queue,
                                              std::span<const RunningCall> running,
                                              const PreemptionOptions& options = {});
--- a/src/bench/dispatcher.cc
+++ b/src/bench/dispatcher.cc
@@ -49,12 +49,14 @@
   if (const auto* refusal = std::get_if<NotRun>(&decision)) {
     const auto& policy = queue_.Policy(call.priority_class);
     ghosts_.push_back({.rank = policy.rank,
-                       .enqueued_at = At(now),
+                       .organisation = call.organisation,
+                       .key = OrderKey(call),
                        .target = At(now) + policy.first_token_target});
     return *refusal;
   }
   waiting_.emplace(call.id, submission.stream);
   queue_.Push(call);
+  ++queued_[{Rank(call.priority_class), call.organisation}];
   return std::nullopt;
 }
 
@@ -67,14 +69,24 @@
     if (!call) {
       return;
     }
+    --queued_[{Rank(call->priority_class), call->organisation}];
     ServeGhost(*call, At(now));
     Run(*call, now);
   }
-  // With free slots every refused call would start now.
-  for (const Ghost& ghost : ghosts_) {
-    refused_in_time_[ghost.rank] += ghost.target >= At(now) ? 1 : 0;
+  // Refused calls would have taken the slots that are free now.
+  for (std::uint32_t i = engine.running(); i < engine.options().slots && !ghosts_.empty(); ++i) {
+    refused_in_time_[ghosts_.front().rank] += ghosts_.front().target >= At(now) ? 1 : 0;
+    ghosts_.pop_front();
   }
-  ghosts_.clear();
+}
+
+double Dispatcher::OrderKey(const QueuedCall& call) const {
+  const auto& options = queue_.options();
+  const double enqueued =
+      std::chrono::duration<double>(call.enqueued_at.time_since_epoch()).count();
+  return options.least_attained_service ? static_cast<double>(call.attained_service.value()) +
+                                              options.ageing_tokens_per_second * enqueued
+                                        : enqueued;
 }
 
 void Dispatcher::Run(QueuedCall call, double now) {
@@ -120,16 +132,22 @@
   call.served_below_share = false;
   waiting_.emplace(call.id, stream);
   queue_.Push(call);
+  ++queued_[{Rank(call.priority_class), call.organisation}];
   return true;
 }
 
 void Dispatcher::ServeGhost(const QueuedCall& popped, MonotonicTime now) {
   std::erase_if(ghosts_, [now](const Ghost& ghost) { return ghost.target < now; });
   const std::uint32_t rank = Rank(popped.priority_class);
+  // A refused call would have been served instead of this one if its class is more urgent, if it
+  // precedes it within the organisation, or if its organisation had nothing queued in its turn.
   const auto ghost = std::ranges::find_if(ghosts_, [&](const Ghost& candidate) {
-    return !popped.served_below_share &&
-           (candidate.rank < rank ||
-            (candidate.rank == rank && candidate.enqueued_at < popped.enqueued_at));
+    if (candidate.rank != rank || popped.served_below_share) {
+      return candidate.rank < rank && !popped.served_below_share;
+    }
+    return candidate.organisation == popped.organisation
+               ? candidate.key < OrderKey(popped)
+               : queued_[{rank, candidate.organisation}] == 0;
   });
   if (ghost != ghosts_.end()) {
     ++refused_in_time_[ghost->rank];
--- a/src/bench/dispatcher.h
+++ b/src/bench/dispatcher.h
@@ -2,6 +2,7 @@
 #define ACACIASPRING_SRC_BENCH_DISPATCHER_H_
 
 #include <list>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -45,7 +46,9 @@
   /// A refused call, kept to find out when its turn would have come.
   struct Ghost {
     std::uint32_t rank = 0;
-    MonotonicTime enqueued_at;
+    OrganisationId organisation;
+    /// Position among the calls of its organisation.
+    double key = 0;
     MonotonicTime target;
   };
   struct Running {
@@ -55,6 +58,7 @@
 
   void Run(QueuedCall call, double now);
   bool PauseOne(double now);
+  double OrderKey(const QueuedCall& call) const;
   void ServeGhost(const QueuedCall& popped, MonotonicTime now);
   std::uint32_t Rank(const PriorityClassId& priority_class) const;
   EndpointOccupancy Occupancy() const;
@@ -66,6 +70,8 @@
   std::unordered_map<QueuedCallId, Running> running_;
   std::unordered_map<QueuedCallId, std::uint32_t> paused_;
   std::list<Ghost> ghosts_;
+  /// Queued calls by rank and organisation.
+  std::map<std::pair<std::uint32_t, OrganisationId>, int> queued_;
   std::vector<std::uint64_t> refused_in_time_;
   double mean_cost_ = 200;
   double mean_duration_s_ = 5;
--- a/src/bench/report.cc
+++ b/src/bench/report.cc
@@ -68,7 +68,7 @@
   };
   double served = 0;
   for (const ClassResult& one : result.classes) {
-    served += one.served_cost;
+    served += one.engine_cost;
   }
   std::vector<double> all;
   for (std::size_t c = 0; c < result.classes.size(); ++c) {
@@ -87,11 +87,13 @@
     add(name + "refused_programs", Ratio(static_cast<double>(one.refused_programs), programs),
         "ratio");
     add(name + "unfinished", Ratio(static_cast<double>(one.unfinished), programs), "ratio");
-    add(name + "served_share", Ratio(one.served_cost, served), "ratio");
+    add(name + "served_share", Ratio(one.engine_cost, served), "ratio");
     add(name + "served_of_offered", Ratio(one.served_cost, one.offered_cost), "ratio");
-    const double entitled =
-        std::min(deployment.classes[c].policy.minimum_share * served, one.offered_cost);
-    add(name + "served_of_minimum", entitled > 0 ? one.served_cost / entitled : 1, "ratio");
+    // A class whose programs all end without a refusal got what it asked for, however little it is.
+    const double minimum = deployment.classes[c].policy.minimum_share;
+    const double of_minimum = minimum > 0 ? Ratio(one.engine_cost, minimum * served) : 1;
+    const bool satisfied = one.refused_programs + one.unfinished == 0;
+    add(name + "share_of_minimum", satisfied ? std::max(of_minimum, 1.0) : of_minimum, "ratio");
   }
   add("all.latency_mean", Mean(all), "s");
   add("all.wasted_prefill", Ratio(result.wasted_tokens, result.prompt_tokens), "ratio");
@@ -128,7 +130,7 @@
       [](double v) { return v <= 1.2; });
   for (std::size_t c = 1; c < deployment.classes.size(); ++c) {
     const auto kept =
-        find(Workload::kMostUrgentFlood, "policy", ClassName(deployment, c) + ".served_of_minimum");
+        find(Workload::kMostUrgentFlood, "policy", ClassName(deployment, c) + ".share_of_minimum");
     add(ClassName(deployment, c) + "_share_of_minimum_in_most_urgent_flood", ">=1", kept, kept,
         same, [](double v) { return v >= 1; });
   }
--- a/src/bench/simulation.cc
+++ b/src/bench/simulation.cc
@@ -277,7 +277,8 @@
     program.exported = 0;
     program.retries = 0;
     const Turn& turn = program.spec.turns[program.turn];
-    Served(program, kPromptCost * turn.new_tokens + turn.output);
+    Served(program, kPromptCost * turn.new_tokens + turn.output,
+           kPromptCost * uncached + turn.output);
     if (++program.turn == program.spec.turns.size()) {
       return EndProgram(program);
     }
@@ -288,9 +289,13 @@
     Schedule(now_ + pause, EventType::kTurn, index);
   }
 
-  void Served(const Program& program, double cost) {
-    if (Measured(program) && now_ < options_.horizon.end_of_arrivals()) {
-      result_.classes[program.spec.priority_class].served_cost += cost;
+  /// `cost` is that of the new tokens, `engine_cost` includes prompt tokens computed again.
+  void Served(const Program& program, double cost, double engine_cost) {
+    if (now_ > options_.horizon.warm_up_s && now_ < options_.horizon.end_of_arrivals()) {
+      ResultOf(program).engine_cost += engine_cost;
+    }
+    if (Measured(program)) {
+      ResultOf(program).served_cost += cost;
     }
     if (Measured(program) && LeastUrgent(program)) {
       result_.organisation_served[static_cast<std::size_t>(program.spec.organisation)] += cost;
--- a/src/bench/simulation.h
+++ b/src/bench/simulation.h
@@ -42,8 +42,11 @@
   std::uint64_t refusals = 0;
   /// Refused calls that would have started within their target.
   std::uint64_t refused_in_time = 0;
+  /// Cost of the new tokens of all offered and all served calls of the measured programs.
   double offered_cost = 0;
   double served_cost = 0;
+  /// Cost that the engines served during the measured time, recomputed prompts included.
+  double engine_cost = 0;
 };
 
 struct RunResult {
--- a/src/scheduling/admission_test.cc
+++ b/src/scheduling/admission_test.cc
@@ -100,9 +100,12 @@
   for (int i = 0; i < 200; ++i) {
     queue.Push(Call(kUrgent, 1000));
   }
-  endpoint.mean_call_cost = 10;
   BOOST_TEST(Refusal(Call(kUrgent)).has_value());
+  // The share gives the batch class the next slot.
   BOOST_TEST(!Refusal(Call(kBatch)));
+  // With 200 queued the share of 100 per second needs 2 s.
+  queue.Push(Call(kBatch, 200));
+  BOOST_TEST(Refusal(Call(kBatch)).has_value());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/scheduling/endpoint_queue.cc
+++ b/src/scheduling/endpoint_queue.cc
@@ -173,16 +173,17 @@
   }
 }
 
-// A class that is served by rank owes nothing for it, because no more urgent call waited. Credit
-// only grows while the class waits. An empty class keeps up to a quantum of it, so that a class
-// whose callers send one call after the other gets its share too.
+// What a class gets by rank counts towards its share as well, up to a quantum; without that a class
+// that gets most of the service in idle moments would still claim its share from urgent calls.
+// Claims only grow while the class waits. An empty class keeps up to a quantum of them, so that a
+// class whose callers send one call after the other gets its share too.
 void EndpointQueue::Charge(std::size_t served, double cost, bool below_share) {
   for (std::size_t i = 0; i < classes_.size(); ++i) {
     ClassQueue& queue = classes_[i];
     const double earned = queue.policy.minimum_share * cost;
     if (i == served) {
-      queue.credit += earned;
-      queue.credit -= below_share ? cost : std::clamp(queue.credit, 0.0, std::max(0.0, cost));
+      const double lowest = below_share ? -HUGE_VAL : std::min(queue.credit, -options_.quantum);
+      queue.credit = std::max(queue.credit + earned - cost, lowest);
     } else if (!queue.round.empty()) {
       queue.credit += earned;
     } else if (queue.credit < 0) {
@@ -260,6 +261,11 @@
   return index ? std::optional(classes_[*index].policy.id) : std::nullopt;
 }
 
+std::optional<PriorityClassId> EndpointQueue::NextClass() const {
+  const auto owed = OwedIndex();
+  return owed ? std::optional(classes_[*owed].policy.id) : MostUrgentClass();
+}
+
 bool EndpointQueue::BelowMinimumShare(const PriorityClassId& priority_class) const {
   const ClassQueue& queue = classes_[PolicyIndex(priority_class)];
   return options_.keep_minimum_shares && !queue.round.empty() && queue.credit > 0;
@@ -280,6 +286,7 @@
     }
   }
   const ClassQueue& queue = classes_[index];
+  ahead.own_debt = std::max(0.0, -queue.credit);
   const OrganisationId key = OrganisationKey(call);
   const double weight = Weight(key);
   double own_cost = 0;
--- a/src/scheduling/limit_grantor.cc
+++ b/src/scheduling/limit_grantor.cc
@@ -92,11 +92,10 @@
       std::min(available, FairShare(&Holder::wanted_calls, holder.wanted_calls, available));
   tokens_ -= grant.calls;
   if (limit_.calls_per_second > 0) {
-    const double needed = std::max(0.0, 1 - tokens_) / limit_.calls_per_second *
-                          static_cast<double>(holders_.size());
+    const double needed =
+        std::max(0.0, 1 - tokens_) / limit_.calls_per_second * static_cast<double>(holders_.size());
     grant.retry_after =
-        std::min(options_.valid_for,
-                 Duration(static_cast<Duration::rep>(std::ceil(1e6 * needed))));
+        std::min(options_.valid_for, Duration(static_cast<Duration::rep>(std::ceil(1e6 * needed))));
   }
   return grant;
 }
--- a/src/scheduling/preemption.cc
+++ b/src/scheduling/preemption.cc
@@ -12,19 +12,15 @@
   if (!urgent || queue.Policy(*urgent).rank > options.preempting_rank) {
     return std::nullopt;
   }
-  const std::uint32_t urgent_rank = queue.Policy(*urgent).rank;
-  for (const auto& policy : queue.options().classes) {
-    // The freed slot would go to the owed class, not to the urgent call.
-    if (policy.rank > urgent_rank && queue.BelowMinimumShare(policy.id)) {
-      return std::nullopt;
-    }
-  }
+  // The freed slot goes to the next call, which may be of a less urgent class that is owed its
+  // share; a stream of that class is not paused for it.
+  const std::uint32_t next_rank = queue.Policy(*queue.NextClass()).rank;
   // Least urgent first, then fewest pauses, then the most remaining work.
   using Key = std::tuple<std::uint32_t, std::int64_t, TokenCount>;
   std::optional<std::pair<Key, QueuedCallId>> best;
   for (const RunningCall& call : running) {
     const std::uint32_t rank = queue.Policy(call.priority_class).rank;
-    if (rank <= urgent_rank || !call.resumable || call.pauses >= options.max_pauses ||
+    if (rank <= next_rank || !call.resumable || call.pauses >= options.max_pauses ||
         call.expected_remaining < options.min_remaining) {
       continue;
     }
--- a/src/scheduling/preemption_test.cc
+++ b/src/scheduling/preemption_test.cc
@@ -70,15 +70,18 @@
   BOOST_TEST(Chosen({ending}) == 0U);
 }
 
-// Guards against pauses that free a slot for a class that is owed its share.
-BOOST_AUTO_TEST_CASE(owed_classes_stop_preemption) {
+// Guards against pauses of a class in favour of its own calls or of less urgent ones: the slot that
+// a pause frees goes to the class that is owed its share.
+BOOST_AUTO_TEST_CASE(owed_classes_are_not_paused_for_themselves) {
   Push(1, kUrgent);
   Push(2, kUrgent);
   Push(3, kNormal);
-  BOOST_TEST(Chosen({Stream(10, kBatch)}) == 10U);
+  BOOST_TEST(Chosen({Stream(10, kNormal)}) == 10U);
   queue.Pop(MonotonicTime{});
   BOOST_TEST(queue.BelowMinimumShare(kNormal));
-  BOOST_TEST(Chosen({Stream(10, kBatch)}) == 0U);
+  BOOST_TEST((queue.NextClass() == kNormal));
+  BOOST_TEST(Chosen({Stream(10, kNormal)}) == 0U);
+  BOOST_TEST(Chosen({Stream(10, kNormal), Stream(11, kBatch)}) == 11U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
