--- a/include/acaciaspring/scheduling.h
+++ b/include/acaciaspring/scheduling.h
@@ -86,7 +86,7 @@
   double urgent = 0;
   /// Cost of the call's own class that precedes it.
   double own_class = 0;
-  /// Cost that the class has received beyond its minimum share and that its share must repay first.
+  /// Cost that the class has received beyond its minimum share; negative if it is owed some.
   double own_debt = 0;
   /// Sum of the minimum shares of the less urgent classes with queued calls.
   double lower_shares = 0;
@@ -357,6 +357,9 @@
   std::uint32_t pauses = 0;
   /// Whether the endpoint can pause and resume this stream.
   bool resumable = false;
+  /// Whether it was served to keep a minimum share (QueuedCall::served_below_share); it isn't
+  /// paused.
+  bool on_minimum_share = false;
 };
 
 struct PreemptionOptions {
--- a/src/bench/dispatcher.cc
+++ b/src/bench/dispatcher.cc
@@ -112,7 +112,8 @@
                               expected - std::min<std::uint64_t>(expected, stream.generated)),
                           .pauses = running.pauses,
                           // A stream in its prefill would lose what it has computed.
-                          .resumable = stream.prefill_left <= 0});
+                          .resumable = stream.prefill_left <= 0,
+                          .on_minimum_share = running.queued.served_below_share});
   }
   const auto chosen = ChoosePreemption(queue_, candidates);
   if (!chosen) {
@@ -142,7 +143,7 @@
   // A refused call would have been served instead of this one if its class is more urgent, if it
   // precedes it within the organisation, or if its organisation had nothing queued in its turn.
   const auto ghost = std::ranges::find_if(ghosts_, [&](const Ghost& candidate) {
-    if (candidate.rank != rank || popped.served_below_share) {
+    if (candidate.rank != rank) {
       return candidate.rank < rank && !popped.served_below_share;
     }
     return candidate.organisation == popped.organisation
--- a/src/scheduling/admission.cc
+++ b/src/scheduling/admission.cc
@@ -37,13 +37,13 @@
     const double urgent_share = UrgentRate(queue, policy.rank, now) / capacity;
     const double free_share = std::max(1 - urgent_share, kMinCapacityShare);
     const double after_lower_shares = std::max(1 - ahead.lower_shares, kMinCapacityShare);
-    wait = (ahead.urgent + ahead.own_class + endpoint.mean_call_cost) /
-           (capacity * free_share * after_lower_shares);
+    const double slot = endpoint.mean_call_cost / capacity;
+    wait = ((ahead.urgent + ahead.own_class) / capacity + slot) / (free_share * after_lower_shares);
     if (policy.minimum_share > 0 && queue.options().keep_minimum_shares) {
       // The minimum share serves the class even while more urgent work is queued: once its debt is
       // repaid and what precedes the call is served, the call gets the next slot.
-      wait = std::min(wait, (ahead.own_debt + ahead.own_class) / (capacity * policy.minimum_share) +
-                                endpoint.mean_call_cost / capacity);
+      const double owing = std::max(0.0, ahead.own_debt + ahead.own_class);
+      wait = std::min(wait, owing / (capacity * policy.minimum_share) + slot);
     }
   }
   if (options_.enabled && wait > limit) {
--- a/src/scheduling/endpoint_queue.cc
+++ b/src/scheduling/endpoint_queue.cc
@@ -174,20 +174,16 @@
 }
 
 // What a class gets by rank counts towards its share as well, up to a quantum; without that a class
-// that gets most of the service in idle moments would still claim its share from urgent calls.
-// Claims only grow while the class waits. An empty class keeps up to a quantum of them, so that a
-// class whose callers send one call after the other gets its share too.
+// that gets most of the service in idle moments would still claim its share from urgent calls. A
+// class without calls saves up claims to a quantum, so that calls that arrive in bursts or one
+// after the other get its share too.
 void EndpointQueue::Charge(std::size_t served, double cost, bool below_share) {
   for (std::size_t i = 0; i < classes_.size(); ++i) {
     ClassQueue& queue = classes_[i];
-    const double earned = queue.policy.minimum_share * cost;
+    queue.credit += queue.policy.minimum_share * cost;
     if (i == served) {
       const double lowest = below_share ? -HUGE_VAL : std::min(queue.credit, -options_.quantum);
-      queue.credit = std::max(queue.credit + earned - cost, lowest);
-    } else if (!queue.round.empty()) {
-      queue.credit += earned;
-    } else if (queue.credit < 0) {
-      queue.credit = std::min(queue.credit + earned, 0.0);
+      queue.credit = std::max(queue.credit - cost, lowest);
     }
     if (queue.round.empty()) {
       queue.credit = std::min(queue.credit, options_.quantum);
@@ -286,7 +282,7 @@
     }
   }
   const ClassQueue& queue = classes_[index];
-  ahead.own_debt = std::max(0.0, -queue.credit);
+  ahead.own_debt = -queue.credit;
   const OrganisationId key = OrganisationKey(call);
   const double weight = Weight(key);
   double own_cost = 0;
--- a/src/scheduling/preemption.cc
+++ b/src/scheduling/preemption.cc
@@ -20,8 +20,8 @@
   std::optional<std::pair<Key, QueuedCallId>> best;
   for (const RunningCall& call : running) {
     const std::uint32_t rank = queue.Policy(call.priority_class).rank;
-    if (rank <= next_rank || !call.resumable || call.pauses >= options.max_pauses ||
-        call.expected_remaining < options.min_remaining) {
+    if (rank <= next_rank || !call.resumable || call.on_minimum_share ||
+        call.pauses >= options.max_pauses || call.expected_remaining < options.min_remaining) {
       continue;
     }
     const Key key{rank, -static_cast<std::int64_t>(call.pauses), call.expected_remaining};
--- a/src/scheduling/preemption_test.cc
+++ b/src/scheduling/preemption_test.cc
@@ -65,6 +65,9 @@
   RunningCall fixed = Stream(10, kBatch);
   fixed.resumable = false;
   BOOST_TEST(Chosen({fixed}) == 0U);
+  RunningCall entitled = Stream(10, kBatch);
+  entitled.on_minimum_share = true;
+  BOOST_TEST(Chosen({entitled}) == 0U);
   RunningCall ending = Stream(10, kBatch);
   ending.expected_remaining = TokenCount(3);
   BOOST_TEST(Chosen({ending}) == 0U);
