--- a/include/acaciaspring/scheduling.h
+++ b/include/acaciaspring/scheduling.h
@@ -366,8 +366,6 @@
   std::uint32_t max_pauses = 2;
   /// Only calls of this rank or a more urgent one pause others.
   std::uint32_t preempting_rank = 0;
-  /// A stream that is expected to end within this many tokens is left to finish.
-  TokenCount min_remaining{32};
 };
 
 /// @brief Chooses the stream to pause for the most urgent queued call on a full endpoint.
--- a/src/scheduling/preemption.cc
+++ b/src/scheduling/preemption.cc
@@ -21,7 +21,7 @@
   for (const RunningCall& call : running) {
     const std::uint32_t rank = queue.Policy(call.priority_class).rank;
     if (rank <= next_rank || !call.resumable || call.on_minimum_share ||
-        call.pauses >= options.max_pauses || call.expected_remaining < options.min_remaining) {
+        call.pauses >= options.max_pauses) {
       continue;
     }
     const Key key{rank, -static_cast<std::int64_t>(call.pauses), call.expected_remaining};
