--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -132,10 +132,17 @@
   EndpointSpeed speed;
 };
 
+/// @brief Ranks of priority classes that placement tells apart; higher ones count as the last.
+inline constexpr std::size_t kRanks = 8;
+using RankCounts = std::array<std::uint32_t, kRanks>;
+
 /// @brief A load report; it describes the endpoint at `sampled_at`, not at its arrival.
 struct LoadReport {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
+  /// Running and waiting calls by rank, if the sender knows them; otherwise all calls count as
+  /// calls of the most urgent rank.
+  std::optional<RankCounts> by_rank{};
   TokenCount kv_used{};
   TokenCount kv_capacity{};
   bool leaving = false;
@@ -152,6 +159,8 @@
   ServiceId service;
   /// Zone of the daemon that will dispatch the call.
   AvailabilityZone zone{};
+  /// Rank of the call's priority class, 0 for the most urgent one.
+  std::uint32_t rank = 0;
   /// History of the program; none for plain services.
   std::optional<PrefixId> program_prefix{};
   std::optional<SharedPrefix> shared_prefix{};
@@ -173,6 +182,7 @@
   Duration initial_service_time = std::chrono::seconds(1);
   bool use_cache_index = true;
   bool correct_reports = true;
+  bool use_ranks = true;
 };
 
 struct EndpointChoice {
@@ -219,23 +229,25 @@
  private:
   struct CountChange {
     MonotonicTime at;
-    std::uint32_t count;
+    RankCounts counts;
   };
   struct State {
     EndpointDescription description;
     LoadReport report;
     bool present = false;
     bool leaving = false;
-    std::uint32_t own = 0;
-    std::uint32_t own_at_report = 0;
+    /// Own calls in flight.
+    RankCounts own{};
+    RankCounts own_at_report{};
     /// Prompt tokens of own calls that have no first token yet.
     double pending_prefill = 0;
     double mean_service_us = 0;
-    /// Own in-flight count over time since the last report.
+    /// Own calls in flight over time since the last report.
     std::deque<CountChange> changes;
   };
   struct InFlight {
     std::uint32_t endpoint = 0;
+    std::size_t rank = 0;
     double pending_prefill = 0;
     MonotonicTime started;
     std::optional<MonotonicTime> first_token;
@@ -256,6 +268,8 @@
   void AddRandom(const RoutingRequest& request,
                  const std::vector<std::uint32_t>& serving,
                  std::mt19937_64& random);
+  /// Calls that precede a call of `rank`, and all calls.
+  std::pair<double, double> Load(const State& state, std::size_t rank) const;
   EndpointChoice Estimate(const RoutingRequest& request, const Candidate& candidate) const;
 
   EndpointChooserOptions options_;
--- a/include/acaciaspring/scheduling.h
+++ b/include/acaciaspring/scheduling.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <list>
 #include <map>
 #include <optional>
@@ -185,6 +186,8 @@
   double cost_per_second = 1;
   /// Mean cost of a running call.
   double mean_call_cost = 0;
+  /// Running streams that may be paused for the call; see CountPausable().
+  std::uint32_t pausable = 0;
 };
 
 struct AdmissionOptions {
@@ -365,7 +368,7 @@
 struct PreemptionOptions {
   std::uint32_t max_pauses = 2;
   /// Only calls of this rank or a more urgent one pause others.
-  std::uint32_t preempting_rank = 0;
+  std::uint32_t preempting_rank = std::numeric_limits<std::uint32_t>::max();
 };
 
 /// @brief Chooses the stream to pause for the most urgent queued call on a full endpoint.
@@ -375,6 +378,12 @@
                                              std::span<const RunningCall> running,
                                              const PreemptionOptions& options = {});
 
+/// @brief Number of running streams that may be paused for a call of the class.
+std::uint32_t CountPausable(const EndpointQueue& queue,
+                            const PriorityClassId& priority_class,
+                            std::span<const RunningCall> running,
+                            const PreemptionOptions& options = {});
+
 }  // namespace acaciaspring
 
 #endif  // ACACIASPRING_SCHEDULING_H_
--- a/src/bench/dispatcher.cc
+++ b/src/bench/dispatcher.cc
@@ -36,16 +36,29 @@
   return queue_.Policy(priority_class).rank;
 }
 
-EndpointOccupancy Dispatcher::Occupancy() const {
+EndpointOccupancy Dispatcher::Occupancy(const PriorityClassId& priority_class) const {
+  const bool preempts = strategy_.router == Router::kPolicy && strategy_.preemption;
   return {.running = engine.running(),
           .concurrency = engine.options().slots,
           .cost_per_second = engine.options().slots * mean_cost_ / mean_duration_s_,
-          .mean_call_cost = mean_cost_};
+          .mean_call_cost = mean_cost_,
+          .pausable = preempts ? CountPausable(queue_, priority_class, RunningCalls()) : 0};
+}
+
+RankCounts Dispatcher::CountByRank() const {
+  RankCounts counts{};
+  for (const auto& [key, count] : queued_) {
+    counts[key.first] += static_cast<std::uint32_t>(count);
+  }
+  for (const auto& [id, running] : running_) {
+    ++counts[Rank(running.queued.priority_class)];
+  }
+  return counts;
 }
 
 std::optional<NotRun> Dispatcher::Submit(const Submission& submission, double now) {
   const QueuedCall& call = submission.queued;
-  const auto decision = admission_.Decide(queue_, call, Occupancy(), At(now));
+  const auto decision = admission_.Decide(queue_, call, Occupancy(call.priority_class), At(now));
   if (const auto* refusal = std::get_if<NotRun>(&decision)) {
     const auto& policy = queue_.Policy(call.priority_class);
     ghosts_.push_back({.rank = policy.rank,
@@ -98,10 +111,7 @@
                        .pauses = paused == paused_.end() ? 0 : paused->second};
 }
 
-bool Dispatcher::PauseOne(double now) {
-  if (strategy_.router != Router::kPolicy || !strategy_.preemption) {
-    return false;
-  }
+std::vector<RunningCall> Dispatcher::RunningCalls() const {
   std::vector<RunningCall> candidates;
   for (const Stream& stream : engine.streams()) {
     const Running& running = running_.at(QueuedCallId(stream.call));
@@ -115,7 +125,14 @@
                           .resumable = stream.prefill_left <= 0,
                           .on_minimum_share = running.queued.served_below_share});
   }
-  const auto chosen = ChoosePreemption(queue_, candidates);
+  return candidates;
+}
+
+bool Dispatcher::PauseOne(double now) {
+  if (strategy_.router != Router::kPolicy || !strategy_.preemption) {
+    return false;
+  }
+  const auto chosen = ChoosePreemption(queue_, RunningCalls());
   if (!chosen) {
     return false;
   }
--- a/src/bench/dispatcher.h
+++ b/src/bench/dispatcher.h
@@ -32,6 +32,7 @@
   /// @brief Drops all queued and running calls and returns their ids.
   std::vector<std::uint64_t> Fail();
 
+  RankCounts CountByRank() const;
   std::size_t waiting() const { return queue_.size(); }
   std::uint64_t pauses() const { return pauses_; }
   /// @brief Refused calls, by class, that would have started within their target.
@@ -58,10 +59,11 @@
 
   void Run(QueuedCall call, double now);
   bool PauseOne(double now);
+  std::vector<RunningCall> RunningCalls() const;
   double OrderKey(const QueuedCall& call) const;
   void ServeGhost(const QueuedCall& popped, MonotonicTime now);
   std::uint32_t Rank(const PriorityClassId& priority_class) const;
-  EndpointOccupancy Occupancy() const;
+  EndpointOccupancy Occupancy(const PriorityClassId& priority_class) const;
 
   const Strategy& strategy_;
   EndpointQueue queue_;
--- a/src/bench/placement.cc
+++ b/src/bench/placement.cc
@@ -17,6 +17,7 @@
   EndpointChooserOptions options;
   options.use_cache_index = strategy.cache_index;
   options.correct_reports = strategy.correct_reports;
+  options.use_ranks = strategy.class_aware_placement && strategy.order_by_class;
   if (!strategy.random_candidates) {
     options.random_candidates = 0;
   }
--- a/src/bench/placement.h
+++ b/src/bench/placement.h
@@ -20,6 +20,7 @@
   PrefixId shared;
   std::uint32_t shared_tokens = 0;
   std::uint32_t prompt = 0;
+  std::uint32_t rank = 0;
   double expected_output = 0;
 };
 
--- a/src/bench/simulation.cc
+++ b/src/bench/simulation.cc
@@ -141,8 +141,8 @@
     Program& program = programs_[index];
     const Turn& turn = program.spec.turns[program.turn];
     const std::uint32_t prompt = program.history + turn.new_tokens;
-    if (program.retries == 0) {
-      Offered(program, kPromptCost * turn.new_tokens + turn.output);
+    if (program.turn == 0 && program.retries == 0) {
+      Offered(program);
     }
     program.call = (static_cast<std::uint64_t>(index) << 20U) | (++attempts_ & 0xfffffU);
     program.description = {.call = program.call,
@@ -150,6 +150,7 @@
                            .shared = program.spec.shared,
                            .shared_tokens = program.spec.shared_tokens,
                            .prompt = prompt,
+                           .rank = deployment_.classes[program.spec.priority_class].policy.rank,
                            .expected_output = outputs_[program.home][program.spec.priority_class]};
     HomeRouter& router = routers_[program.home];
     const auto placement = router.Choose(program.description, now_);
@@ -199,11 +200,15 @@
     return submission;
   }
 
-  void Offered(const Program& program, double cost) {
+  void Offered(const Program& program) {
     if (!Measured(program)) {
       return;
     }
-    result_.classes[program.spec.priority_class].offered_cost += cost;
+    double cost = 0;
+    for (const Turn& turn : program.spec.turns) {
+      cost += kPromptCost * turn.new_tokens + turn.output;
+    }
+    ResultOf(program).offered_cost += cost;
     if (LeastUrgent(program)) {
       result_.organisation_offered[static_cast<std::size_t>(program.spec.organisation)] += cost;
     }
@@ -369,6 +374,7 @@
     Report report{.engine = index,
                   .load = {.running = dispatcher.engine.running(),
                            .waiting = static_cast<std::uint32_t>(dispatcher.waiting()),
+                           .by_rank = dispatcher.CountByRank(),
                            .kv_used = TokenCount(dispatcher.engine.kv_used()),
                            .kv_capacity = TokenCount(dispatcher.engine.options().kv_capacity),
                            .sampled_at = At(now_)},
--- a/src/bench/simulation.h
+++ b/src/bench/simulation.h
@@ -27,6 +27,7 @@
   bool correct_reports = true;
   bool random_candidates = true;
   bool pause_policy = true;
+  bool class_aware_placement = true;
 };
 
 /// @brief The whole, the whole without one rule each, and the baselines.
--- a/src/bench/strategies.cc
+++ b/src/bench/strategies.cc
@@ -38,6 +38,7 @@
   without("shared-prefix", &Strategy::shared_prefix);
   without("report-correction", &Strategy::correct_reports);
   without("random-candidates", &Strategy::random_candidates);
+  without("class-aware-placement", &Strategy::class_aware_placement);
   without("pause-policy", &Strategy::pause_policy);
   return all;
 }
--- a/src/routing/endpoint_chooser_test.cc
+++ b/src/routing/endpoint_chooser_test.cc
@@ -108,6 +108,21 @@
   BOOST_TEST(Choose(Request()).expected_wait.count() == 0);
 }
 
+// Guards against urgent calls that avoid an endpoint because of work that they overtake.
+BOOST_AUTO_TEST_CASE(less_urgent_calls_do_not_count_as_ahead) {
+  fleet.cache().OnCompletion(Name(3), PrefixId(7), TokenCount(20'000), At(0));
+  LoadReport report{.running = 4, .waiting = 20, .sampled_at = At(1)};
+  report.by_rank = RankCounts{1, 0, 23};
+  fleet.OnLoad(Name(3), report);
+  const EndpointChoice urgent = Choose(Request());
+  BOOST_TEST((urgent.endpoint == Name(3)));
+  // The next free slot of 4 after a quarter of the assumed second.
+  BOOST_TEST((urgent.expected_wait == std::chrono::milliseconds(250)));
+  RoutingRequest batch = Request();
+  batch.rank = 2;
+  BOOST_TEST((Choose(batch).endpoint != Name(3)));
+}
+
 // Guards against calls across zones without need.
 BOOST_AUTO_TEST_CASE(prefers_the_own_zone) {
   EndpointChooser two({.random_candidates = 16});
--- a/src/scheduling/admission.cc
+++ b/src/scheduling/admission.cc
@@ -38,7 +38,10 @@
     const double free_share = std::max(1 - urgent_share, kMinCapacityShare);
     const double after_lower_shares = std::max(1 - ahead.lower_shares, kMinCapacityShare);
     const double slot = endpoint.mean_call_cost / capacity;
-    wait = ((ahead.urgent + ahead.own_class) / capacity + slot) / (free_share * after_lower_shares);
+    // Each stream that may be paused makes room for one call of mean cost at once.
+    const double work = ahead.urgent + ahead.own_class +
+                        endpoint.mean_call_cost * (1.0 - static_cast<double>(endpoint.pausable));
+    wait = std::max(0.0, work) / (capacity * free_share * after_lower_shares);
     if (policy.minimum_share > 0 && queue.options().keep_minimum_shares) {
       // The minimum share serves the class even while more urgent work is queued: once its debt is
       // repaid and what precedes the call is served, the call gets the next slot.
--- a/src/scheduling/admission_test.cc
+++ b/src/scheduling/admission_test.cc
@@ -108,6 +108,19 @@
   BOOST_TEST(Refusal(Call(kBatch)).has_value());
 }
 
+// Guards against refusals of urgent calls for which a running stream would make room.
+BOOST_AUTO_TEST_CASE(counts_on_streams_that_may_be_paused) {
+  for (int i = 0; i < 20; ++i) {
+    queue.Push(Call(kUrgent));
+  }
+  BOOST_TEST(Refusal(Call(kUrgent)).has_value());
+  endpoint.pausable = 8;
+  // 2,000 queued, 100 running and room for 800: 1.3 s.
+  BOOST_TEST(Refusal(Call(kUrgent)).has_value());
+  endpoint.pausable = 10;
+  BOOST_TEST(!Refusal(Call(kUrgent)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(retry_budget)
--- a/src/scheduling/preemption.cc
+++ b/src/scheduling/preemption.cc
@@ -4,6 +4,17 @@
 #include "acaciaspring/scheduling.h"
 
 namespace acaciaspring {
+namespace {
+
+bool MayPause(const RunningCall& call,
+              std::uint32_t rank,
+              std::uint32_t for_rank,
+              const PreemptionOptions& options) {
+  return rank > for_rank && call.resumable && !call.on_minimum_share &&
+         call.pauses < options.max_pauses;
+}
+
+}  // namespace
 
 std::optional<QueuedCallId> ChoosePreemption(const EndpointQueue& queue,
                                              std::span<const RunningCall> running,
@@ -20,8 +31,7 @@
   std::optional<std::pair<Key, QueuedCallId>> best;
   for (const RunningCall& call : running) {
     const std::uint32_t rank = queue.Policy(call.priority_class).rank;
-    if (rank <= next_rank || !call.resumable || call.on_minimum_share ||
-        call.pauses >= options.max_pauses) {
+    if (!MayPause(call, rank, next_rank, options)) {
       continue;
     }
     const Key key{rank, -static_cast<std::int64_t>(call.pauses), call.expected_remaining};
@@ -32,4 +42,17 @@
   return best ? std::optional(best->second) : std::nullopt;
 }
 
+std::uint32_t CountPausable(const EndpointQueue& queue,
+                            const PriorityClassId& priority_class,
+                            std::span<const RunningCall> running,
+                            const PreemptionOptions& options) {
+  const std::uint32_t for_rank = queue.Policy(priority_class).rank;
+  if (for_rank > options.preempting_rank) {
+    return 0;
+  }
+  return static_cast<std::uint32_t>(std::ranges::count_if(running, [&](const RunningCall& call) {
+    return MayPause(call, queue.Policy(call.priority_class).rank, for_rank, options);
+  }));
+}
+
 }  // namespace acaciaspring
--- a/src/scheduling/preemption_test.cc
+++ b/src/scheduling/preemption_test.cc
@@ -34,10 +34,11 @@
   }
 
   std::uint64_t Chosen(const std::vector<RunningCall>& running) {
-    return ChoosePreemption(queue, running).value_or(QueuedCallId(0)).value();
+    return ChoosePreemption(queue, running, options).value_or(QueuedCallId(0)).value();
   }
 
   EndpointQueue queue;
+  PreemptionOptions options;
 };
 
 BOOST_FIXTURE_TEST_SUITE(preemption, Fixture)
@@ -52,9 +53,24 @@
 
 // Guards against pauses on behalf of work that may wait.
 BOOST_AUTO_TEST_CASE(only_urgent_work_pauses_others) {
+  options.preempting_rank = 0;
   BOOST_TEST(Chosen({Stream(10, kBatch)}) == 0U);
   Push(1, kNormal);
   BOOST_TEST(Chosen({Stream(10, kBatch)}) == 0U);
+  BOOST_TEST(CountPausable(queue, kNormal, std::vector{Stream(10, kBatch)}, options) == 0U);
+  options.preempting_rank = 1;
+  BOOST_TEST(Chosen({Stream(10, kBatch)}) == 10U);
+}
+
+// Guards against an admission that counts on streams that preemption would not pause.
+BOOST_AUTO_TEST_CASE(counts_the_streams_that_may_be_paused) {
+  RunningCall fixed = Stream(13, kBatch);
+  fixed.resumable = false;
+  const std::vector<RunningCall> running{Stream(10, kNormal), Stream(11, kBatch),
+                                         Stream(12, kBatch, 2), fixed};
+  BOOST_TEST(CountPausable(queue, kUrgent, running) == 2U);
+  BOOST_TEST(CountPausable(queue, kNormal, running) == 1U);
+  BOOST_TEST(CountPausable(queue, kBatch, running) == 0U);
 }
 
 // Guards against a stream that is paused again and again and never ends.
