--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -140,9 +140,8 @@
 struct LoadReport {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  /// Running and waiting calls by rank, if the sender knows them; otherwise all calls count as
-  /// calls of the most urgent rank.
-  std::optional<RankCounts> by_rank{};
+  /// Waiting calls by rank; all 0 if the sender doesn't know. A call overtakes less urgent ones.
+  RankCounts waiting_by_rank{};
   TokenCount kv_used{};
   TokenCount kv_capacity{};
   bool leaving = false;
@@ -229,7 +228,7 @@
  private:
   struct CountChange {
     MonotonicTime at;
-    RankCounts counts;
+    std::uint32_t count;
   };
   struct State {
     EndpointDescription description;
@@ -237,8 +236,8 @@
     bool present = false;
     bool leaving = false;
     /// Own calls in flight.
-    RankCounts own{};
-    RankCounts own_at_report{};
+    std::uint32_t own = 0;
+    std::uint32_t own_at_report = 0;
     /// Prompt tokens of own calls that have no first token yet.
     double pending_prefill = 0;
     double mean_service_us = 0;
@@ -247,7 +246,6 @@
   };
   struct InFlight {
     std::uint32_t endpoint = 0;
-    std::size_t rank = 0;
     double pending_prefill = 0;
     MonotonicTime started;
     std::optional<MonotonicTime> first_token;
@@ -268,8 +266,8 @@
   void AddRandom(const RoutingRequest& request,
                  const std::vector<std::uint32_t>& serving,
                  std::mt19937_64& random);
-  /// Calls that precede a call of `rank`, and all calls.
-  std::pair<double, double> Load(const State& state, std::size_t rank) const;
+  /// Running and waiting calls, and those of them that a call of `rank` overtakes.
+  std::pair<double, double> Load(const State& state, std::uint32_t rank) const;
   EndpointChoice Estimate(const RoutingRequest& request, const Candidate& candidate) const;
 
   EndpointChooserOptions options_;
--- a/src/bench/dispatcher.cc
+++ b/src/bench/dispatcher.cc
@@ -45,14 +45,11 @@
           .pausable = preempts ? CountPausable(queue_, priority_class, RunningCalls()) : 0};
 }
 
-RankCounts Dispatcher::CountByRank() const {
+RankCounts Dispatcher::WaitingByRank() const {
   RankCounts counts{};
   for (const auto& [key, count] : queued_) {
     counts[key.first] += static_cast<std::uint32_t>(count);
   }
-  for (const auto& [id, running] : running_) {
-    ++counts[Rank(running.queued.priority_class)];
-  }
   return counts;
 }
 
--- a/src/routing/endpoint_chooser.cc
+++ b/src/routing/endpoint_chooser.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <numeric>
 
 #include "acaciaspring/routing.h"
 
@@ -10,14 +9,6 @@
   return std::ranges::find(endpoint.services, service) != endpoint.services.end();
 }
 
-std::size_t RankIndex(std::uint32_t rank) {
-  return std::min<std::size_t>(rank, kRanks - 1);
-}
-
-std::uint32_t Total(const RankCounts& counts) {
-  return std::accumulate(counts.begin(), counts.end(), 0U);
-}
-
 double Microseconds(Duration duration) {
   return static_cast<double>(duration.count());
 }
@@ -60,7 +51,7 @@
   cache_.ForgetEndpoint(endpoint);
   states_[index].present = false;
   // The slot is reused once no call refers to it.
-  if (Total(states_[index].own) == 0) {
+  if (states_[index].own == 0) {
     free_.push_back(index);
   }
 }
@@ -104,7 +95,7 @@
   }
   state.report = report;
   while (!state.changes.empty() && state.changes.front().at <= report.sampled_at) {
-    state.own_at_report = state.changes.front().counts;
+    state.own_at_report = state.changes.front().count;
     state.changes.pop_front();
   }
   if (listing_changes) {
@@ -115,10 +106,10 @@
 void EndpointChooser::RecordCount(State& state, MonotonicTime now) {
   constexpr std::size_t kMaxChanges = 4096;
   if (state.changes.size() >= kMaxChanges) {
-    state.own_at_report = state.changes.front().counts;
+    state.own_at_report = state.changes.front().count;
     state.changes.pop_front();
   }
-  state.changes.push_back({.at = now, .counts = state.own});
+  state.changes.push_back({.at = now, .count = state.own});
 }
 
 void EndpointChooser::AddCandidate(const RoutingRequest& request,
@@ -213,37 +204,27 @@
   return best;
 }
 
-// Calls of others, as of the report, plus the own calls that are in flight now.
-std::pair<double, double> EndpointChooser::Load(const State& state, std::size_t rank) const {
-  RankCounts reported{state.report.running + state.report.waiting};
-  RankCounts own_at_report{Total(state.own_at_report)};
-  RankCounts own{Total(state.own)};
-  if (options_.use_ranks && state.report.by_rank) {
-    reported = *state.report.by_rank;
-    own_at_report = state.own_at_report;
-    own = state.own;
-  }
-  double preceding = 0;
-  double all = 0;
-  for (std::size_t i = 0; i < kRanks; ++i) {
-    const double count = options_.correct_reports
-                             ? reported[i] - std::min(reported[i], own_at_report[i]) + own[i]
-                             : reported[i];
-    all += count;
-    preceding += i <= rank ? count : 0;
-  }
-  return {preceding, all};
+std::pair<double, double> EndpointChooser::Load(const State& state, std::uint32_t rank) const {
+  const LoadReport& report = state.report;
+  double load = report.running + report.waiting;
+  if (options_.correct_reports) {
+    // Calls of others, as of the report, plus the own calls that are in flight now.
+    load = std::max(0.0, load - state.own_at_report) + state.own;
+  }
+  double overtaken = 0;
+  for (std::size_t i = std::size_t{rank} + 1; options_.use_ranks && i < kRanks; ++i) {
+    overtaken += report.waiting_by_rank[i];
+  }
+  return {load, std::min(overtaken, load)};
 }
 
 EndpointChoice EndpointChooser::Estimate(const RoutingRequest& request,
                                          const Candidate& candidate) const {
   const State& state = states_[candidate.endpoint];
   const EndpointSpeed& speed = state.description.speed;
-  const auto [preceding, load] = Load(state, RankIndex(request.rank));
+  const auto [load, overtaken] = Load(state, request.rank);
   const double concurrency = std::max(1U, speed.concurrency);
-  // A less urgent call that runs holds its slot until it ends or is paused, for which the wait for
-  // the next free slot stands.
-  const double ahead = load < concurrency ? 0 : std::max(1.0, preceding + 1 - concurrency);
+  const double ahead = std::max(0.0, load - overtaken + 1 - concurrency);
   const double wait = ahead * state.mean_service_us / concurrency;
   double run = Microseconds(request.expected_duration);
   if (speed.prefill_tokens_per_second > 0) {
@@ -277,7 +258,6 @@
   const double rate = state.description.speed.prefill_tokens_per_second;
   const double prefill_us = rate > 0 ? 1e6 * static_cast<double>(uncached) / rate : 0;
   const InFlight entry{.endpoint = found->second,
-                       .rank = RankIndex(request.rank),
                        .pending_prefill = static_cast<double>(uncached),
                        .started = now,
                        .first_token = std::nullopt,
@@ -288,7 +268,7 @@
     return;
   }
   state.pending_prefill += entry.pending_prefill;
-  ++state.own[entry.rank];
+  ++state.own;
   RecordCount(state, now);
 }
 
@@ -315,9 +295,9 @@
   const InFlight entry = found->second;
   in_flight_.erase(found);
   State& state = states_[entry.endpoint];
-  --state.own[entry.rank];
+  --state.own;
   if (!state.present) {
-    if (Total(state.own) == 0) {
+    if (state.own == 0) {
       free_.push_back(entry.endpoint);
     }
     return;
