--- a/include/acaciaspring/scheduling.h
+++ b/include/acaciaspring/scheduling.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <list>
 #include <map>
 #include <optional>
@@ -86,6 +87,8 @@
   double urgent = 0;
   /// Cost of the call's own class that precedes it.
   double own_class = 0;
+  /// Cost that the class has received beyond its minimum share; negative if it is owed some.
+  double own_debt = 0;
   /// Sum of the minimum shares of the less urgent classes with queued calls.
   double lower_shares = 0;
 };
@@ -116,6 +119,8 @@
   double Cost(const QueuedCall& call) const;
   /// @brief Most urgent class with queued calls.
   std::optional<PriorityClassId> MostUrgentClass() const;
+  /// @brief Class of the call that Pop would return.
+  std::optional<PriorityClassId> NextClass() const;
   /// @brief Whether the class has received less than its minimum share during contention.
   bool BelowMinimumShare(const PriorityClassId& priority_class) const;
   const PriorityClassPolicy& Policy(const PriorityClassId& priority_class) const;
@@ -181,6 +186,8 @@
   double cost_per_second = 1;
   /// Mean cost of a running call.
   double mean_call_cost = 0;
+  /// Running streams that may be paused for the call; see CountPausable().
+  std::uint32_t pausable = 0;
 };
 
 struct AdmissionOptions {
@@ -353,23 +360,30 @@
   std::uint32_t pauses = 0;
   /// Whether the endpoint can pause and resume this stream.
   bool resumable = false;
+  /// Whether it was served to keep a minimum share (QueuedCall::served_below_share); it isn't
+  /// paused.
+  bool on_minimum_share = false;
 };
 
 struct PreemptionOptions {
   std::uint32_t max_pauses = 2;
   /// Only calls of this rank or a more urgent one pause others.
-  std::uint32_t preempting_rank = 0;
-  /// A stream that is expected to end within this many tokens is left to finish.
-  TokenCount min_remaining{32};
+  std::uint32_t preempting_rank = std::numeric_limits<std::uint32_t>::max();
 };
 
 /// @brief Chooses the stream to pause for the most urgent queued call on a full endpoint.
-/// @return none if nothing less urgent runs that may be paused, or if the classes below are owed
-/// their minimum share.
+/// @return none if nothing runs that may be paused and is less urgent than both the urgent call and
+/// the call that would get the slot, which may be one of a class that is owed its minimum share.
 std::optional<QueuedCallId> ChoosePreemption(const EndpointQueue& queue,
                                              std::span<const RunningCall> running,
                                              const PreemptionOptions& options = {});
 
+/// @brief Number of running streams that may be paused for a call of the class.
+std::uint32_t CountPausable(const EndpointQueue& queue,
+                            const PriorityClassId& priority_class,
+                            std::span<const RunningCall> running,
+                            const PreemptionOptions& options = {});
+
 }  // namespace acaciaspring
 
 #endif  // ACACIASPRING_SCHEDULING_H_
--- a/src/scheduling/admission.cc
+++ b/src/scheduling/admission.cc
@@ -37,12 +37,16 @@
     const double urgent_share = UrgentRate(queue, policy.rank, now) / capacity;
     const double free_share = std::max(1 - urgent_share, kMinCapacityShare);
     const double after_lower_shares = std::max(1 - ahead.lower_shares, kMinCapacityShare);
-    wait = (ahead.urgent + ahead.own_class + endpoint.mean_call_cost) /
-           (capacity * free_share * after_lower_shares);
-    if (policy.minimum_share > 0) {
-      // The minimum share serves the class even while more urgent work is queued.
-      wait = std::min(
-          wait, (ahead.own_class + endpoint.mean_call_cost) / (capacity * policy.minimum_share));
+    const double slot = endpoint.mean_call_cost / capacity;
+    // Each stream that may be paused makes room for one call of mean cost at once.
+    const double work = ahead.urgent + ahead.own_class +
+                        endpoint.mean_call_cost * (1.0 - static_cast<double>(endpoint.pausable));
+    wait = std::max(0.0, work) / (capacity * free_share * after_lower_shares);
+    if (policy.minimum_share > 0 && queue.options().keep_minimum_shares) {
+      // The minimum share serves the class even while more urgent work is queued: once its debt is
+      // repaid and what precedes the call is served, the call gets the next slot.
+      const double owing = std::max(0.0, ahead.own_debt + ahead.own_class);
+      wait = std::min(wait, owing / (capacity * policy.minimum_share) + slot);
     }
   }
   if (options_.enabled && wait > limit) {
@@ -50,7 +54,7 @@
                                              static_cast<double>(options_.min_retry_after_ms),
                                              static_cast<double>(options_.max_retry_after_ms));
     return NotRun{.reason = NotRunReason::kOverloaded,
-                  .retry_after_ms = static_cast<std::uint32_t>(retry_after_ms)};
+                  .retry_after_ms = static_cast<std::uint32_t>(std::lround(retry_after_ms))};
   }
   OnAdmitted(policy.rank, queue.Cost(call), now);
   return Admitted{.predicted_wait = FromSeconds(wait)};
--- a/src/scheduling/admission_test.cc
+++ b/src/scheduling/admission_test.cc
@@ -100,9 +100,25 @@
   for (int i = 0; i < 200; ++i) {
     queue.Push(Call(kUrgent, 1000));
   }
-  endpoint.mean_call_cost = 10;
   BOOST_TEST(Refusal(Call(kUrgent)).has_value());
+  // The share gives the batch class the next slot.
   BOOST_TEST(!Refusal(Call(kBatch)));
+  // With 200 queued the share of 100 per second needs 2 s.
+  queue.Push(Call(kBatch, 200));
+  BOOST_TEST(Refusal(Call(kBatch)).has_value());
+}
+
+// Guards against refusals of urgent calls for which a running stream would make room.
+BOOST_AUTO_TEST_CASE(counts_on_streams_that_may_be_paused) {
+  for (int i = 0; i < 20; ++i) {
+    queue.Push(Call(kUrgent));
+  }
+  BOOST_TEST(Refusal(Call(kUrgent)).has_value());
+  endpoint.pausable = 8;
+  // 2,000 queued, 100 running and room for 800: 1.3 s.
+  BOOST_TEST(Refusal(Call(kUrgent)).has_value());
+  endpoint.pausable = 10;
+  BOOST_TEST(!Refusal(Call(kUrgent)));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
