--- a/src/daemon/endpoint_monitor.cc
+++ b/src/daemon/endpoint_monitor.cc
@@ -20,12 +20,9 @@
 }  // namespace
 
 void EndpointWorker::PollLoad() {
-  const auto on_load = [this, alive = alive_](const endpoint::LoadResult& result) {
-    if (!*alive) {
-      return;
-    }
+  const auto on_load = [this](const endpoint::Reply<endpoint::EngineLoad>& reply) {
     const bool was_available = available();
-    if (const auto* load = std::get_if<endpoint::EngineLoad>(&result)) {
+    if (const auto* load = std::get_if<endpoint::EngineLoad>(&reply)) {
       failed_polls_ = 0;
       unreachable_ = false;
       reported_leaving_ = load->leaving;
@@ -43,7 +40,7 @@
       Pump();
     }
   };
-  endpoint::FetchLoad(context_.http, target_.address, kPollTimeout, on_load);
+  load_poll_ = endpoint::FetchLoad(context_.http, {target_.address, kPollTimeout}, on_load);
 }
 
 bool EndpointWorker::IsGone(const ProgramId& program) const {
@@ -52,17 +49,14 @@
 }
 
 void EndpointWorker::PollHolds() {
-  const auto on_holds = [this, alive = alive_](const endpoint::HoldsResult& result) {
-    if (!*alive) {
-      return;
-    }
-    const auto* holds = std::get_if<endpoint::EngineHolds>(&result);
+  const auto on_holds = [this](const endpoint::Reply<std::vector<endpoint::Hold>>& reply) {
+    const auto* holds = std::get_if<std::vector<endpoint::Hold>>(&reply);
     if (holds == nullptr) {
       return;
     }
     const MonotonicTime now = context_.loop.Now();
     std::map<ProgramId, MonotonicTime> orphaned;
-    for (const endpoint::EngineHold& hold : holds->holds) {
+    for (const endpoint::Hold& hold : *holds) {
       if (!IsGone(hold.program)) {
         continue;
       }
@@ -77,7 +71,7 @@
     }
     orphaned_ = std::move(orphaned);
   };
-  endpoint::ListHolds(context_.http, target_.address, kPollTimeout, on_holds);
+  hold_poll_ = endpoint::ListHolds(context_.http, {target_.address, kPollTimeout}, on_holds);
 }
 
 void EndpointWorker::ReleaseProgram(const ProgramId& program) {
@@ -87,7 +81,11 @@
 }
 
 void EndpointWorker::Release(const ProgramId& program) {
-  endpoint::ReleaseHold(context_.http, target_.address, program, kPollTimeout, nullptr);
+  releases_[program] =
+      endpoint::ReleaseHold(context_.http, {target_.address, kPollTimeout}, program,
+                            [this, program](const endpoint::Reply<endpoint::HoldReleased>&) {
+                              releases_.erase(program);
+                            });
 }
 
 }  // namespace acaciaspring::daemon
--- a/src/daemon/endpoint_worker.cc
+++ b/src/daemon/endpoint_worker.cc
@@ -43,7 +43,7 @@
   telemetry::Span span;
   QueuedCall queued;
   bool running = false;
-  std::shared_ptr<endpoint::Call> call;
+  endpoint::CallPtr call;
 };
 
 EndpointWorker::EndpointWorker(Context context, EndpointTarget target)
@@ -53,9 +53,7 @@
       mean_output_(kInitialOutputTokens),
       mean_cost_(kInitialOutputTokens) {}
 
-EndpointWorker::~EndpointWorker() {
-  *alive_ = false;
-}
+EndpointWorker::~EndpointWorker() = default;
 
 void EndpointWorker::Configure(EndpointTarget target) {
   target_ = std::move(target);
@@ -175,12 +173,12 @@
   options.model = work.model;
   options.messages = work.messages;
   options.max_tokens = work.max_tokens;
-  options.priority = queue_->Policy(item->request.priority_class).rank;
+  options.priority = static_cast<int>(queue_->Policy(item->request.priority_class).rank);
   options.hold = work.hold;
   options.first_token_timeout = std::min(kFirstTokenTimeout, item->deadline - context_.loop.Now());
   options.silence_timeout = kSilenceTimeout;
   options.traceparent = telemetry::FormatTraceparent(item->span.context);
-  endpoint::ModelCallCallbacks callbacks;
+  endpoint::ModelCallbacks callbacks;
   callbacks.on_token = [this, item](std::uint64_t index, std::string_view text) {
     context_.peers.Send(item->channel,
                         wire::DispatchEvent{item->request.exchange, index, std::string(text)});
@@ -188,7 +186,7 @@
   callbacks.on_finished = [this, item](const Outcome& outcome, const wire::Usage& usage) {
     Finish(item, outcome, "", usage);
   };
-  item->call = endpoint::StartModelCall(context_.http, std::move(options), std::move(callbacks));
+  item->call = endpoint::StartModelCall(context_.http, options, std::move(callbacks));
 }
 
 void EndpointWorker::RunTool(const ItemPtr& item, const wire::ToolDispatch& work) {
@@ -203,18 +201,18 @@
   options.body = work.body;
   options.timeout = std::min(service->timeout, item->deadline - context_.loop.Now());
   options.traceparent = telemetry::FormatTraceparent(item->span.context);
-  endpoint::ToolCallCallbacks callbacks;
-  callbacks.on_finished = [this, item](const Outcome& outcome, std::string body) {
-    Finish(item, outcome, std::move(body), {});
-  };
-  item->call = endpoint::StartToolCall(context_.http, std::move(options), std::move(callbacks));
+  item->call = endpoint::StartToolCall(context_.http, options,
+                                       [this, item](const Outcome& outcome, std::string body) {
+                                         Finish(item, outcome, std::move(body), {});
+                                       });
 }
 
 void EndpointWorker::Finish(const ItemPtr& item,
                             const Outcome& outcome,
                             std::string body,
                             wire::Usage usage) {
-  const std::shared_ptr<endpoint::Call> call = std::move(item->call);
+  // Keeps the exchange alive until its callback has returned.
+  const endpoint::CallPtr call = std::move(item->call);
   if (items_.erase(item->id) > 0 && item->running) {
     --running_;
     if (std::holds_alternative<Completed>(outcome) && is_engine()) {
--- a/src/daemon/endpoint_worker.h
+++ b/src/daemon/endpoint_worker.h
@@ -96,7 +96,9 @@
   std::set<ProgramId> held_;
   /// Holds without a live program and when they were first seen.
   std::map<ProgramId, MonotonicTime> orphaned_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  endpoint::CallPtr load_poll_;
+  endpoint::CallPtr hold_poll_;
+  std::map<ProgramId, endpoint::CallPtr> releases_;
 };
 
 }  // namespace acaciaspring::daemon
