Test net with damaged requests, early answers and planned stops

Change: seeded test of damaged requests, early answers to large requests, a planned stop, and five more broken answers.

--- a/src/endpoint/model_stream_test.cc
+++ b/src/endpoint/model_stream_test.cc
@@ -18,6 +18,10 @@
   return line + R"(data: {"choices":[{"index":0,"delta":{"content":")" + text + "\"}}]}\n\n";
 }
 
+std::string Data(const std::string& data) {
+  return "data: " + data + "\n\n";
+}
+
 struct Read {
   std::string text;
   std::string outcome = "none";
@@ -43,8 +47,7 @@
 
 // Guards against a whole answer that is not recognised.
 BOOST_AUTO_TEST_CASE(whole_stream_is_completed) {
-  const Read read = ReadStream(R"(data: {"choices":[{"delta":{"role":"assistant"}}]})"
-                               "\n\n" +
+  const Read read = ReadStream(Data(R"({"choices":[{"delta":{"role":"assistant"}}]})") +
                                Chunk("a") + Chunk("b") + kUsage + kDone);
   BOOST_TEST(read.text == "0a 1b ");
   BOOST_TEST(read.outcome == "completed");
@@ -90,20 +93,16 @@
 // Guards against an exception or a crash on malformed chunks.
 BOOST_AUTO_TEST_CASE(malformed_chunks_are_failures) {
   const std::vector<std::string> malformed = {
-      "data: {\n\n",
-      "data: nonsense\n\n",
-      "data: []\n\n",
-      "data: 7\n\n",
-      "data: {} x\n\n",
-      "data: " + std::string(10000, '[') + "\n\n",
-      R"(data: {"usage":{"prompt_tokens":-1,"completion_tokens":2}})"
-      "\n\n",
-      R"(data: {"usage":{"prompt_tokens":1}})"
-      "\n\n",
-      R"(data: {"usage":"3"})"
-      "\n\n",
-      R"(data: {"error":{"message":"out of memory"}})"
-      "\n\n",
+      Data("{"),
+      Data("nonsense"),
+      Data("[]"),
+      Data("7"),
+      Data("{} x"),
+      Data(std::string(10000, '[')),
+      Data(R"({"usage":{"prompt_tokens":-1,"completion_tokens":2}})"),
+      Data(R"({"usage":{"prompt_tokens":1}})"),
+      Data(R"({"usage":"3"})"),
+      Data(R"({"error":{"message":"out of memory"}})"),
       Chunk("a", "x"),
       Chunk("a", "-1"),
       Chunk("a", "99999999999999999999999"),
@@ -112,17 +111,14 @@
   for (const std::string& bytes : malformed) {
     BOOST_TEST(ReadStream(bytes).outcome == "failed", bytes.substr(0, 80));
   }
-  const std::vector<std::string> harmless = {R"(data: {"choices":7})"
-                                             "\n\n",
-                                             R"(data: {"choices":[]})"
-                                             "\n\n",
-                                             R"(data: {"choices":[{"delta":{"content":null}}]})"
-                                             "\n\n",
-                                             R"(data: {"choices":[{"delta":7}]})"
-                                             "\n\n",
-                                             R"(data: {"choices":[7]})"
-                                             "\n\n",
-                                             ": keep alive\n\n"};
+  const std::vector<std::string> harmless = {
+      Data(R"({"choices":7})"),
+      Data(R"({"choices":[]})"),
+      Data(R"({"choices":[{"delta":{"content":null}}]})"),
+      Data(R"({"choices":[{"delta":7}]})"),
+      Data(R"({"choices":[7]})"),
+      ": keep alive\n\n",
+  };
   for (const std::string& bytes : harmless) {
     BOOST_TEST(ReadStream(bytes).outcome == "none", bytes);
   }
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -173,6 +173,11 @@
       head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n",
       head + "\r\nuntil the connection ends",
       "nonsense\r\n\r\n",
+      head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+      head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nfull",
+      head + "X: " + std::string(100'000, 'x') + "\r\nContent-Length: 0\r\n\r\n",
+      "HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\n",
   };
   for (const std::string& answer : broken) {
     for (const bool reset : {false, true}) {
@@ -190,6 +195,53 @@
   BOOST_TEST(Describe(reply.result) == "finished 204");
 }
 
+// Guards against an answer that is lost because it comes before the whole request is sent, and
+// against reuse of a connection that still owes the rest of a request.
+BOOST_AUTO_TEST_CASE(answer_may_come_before_the_request_is_sent) {
+  Loop loop;
+  HttpClient client(loop, {});
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in name = ToSocketAddress(kAnyLoopbackPort);
+  socklen_t size = sizeof(name);
+  BOOST_REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&name), size) == 0);
+  BOOST_REQUIRE(listen(listener, 1) == 0);
+  BOOST_REQUIRE(getsockname(listener, reinterpret_cast<sockaddr*>(&name), &size) == 0);
+  std::optional<HttpReply> reply;
+  constexpr std::size_t kMoreThanSocketBuffers = std::size_t{64} << 20;
+  Fetch(client,
+        {.server = FromSocketAddress(name),
+         .method = "POST",
+         .body = std::string(kMoreThanSocketBuffers, 'x')},
+        kManyBytes, [&](HttpReply given) { reply = std::move(given); });
+  // The server answers without reading anything.
+  const int accepted = accept(listener, nullptr, nullptr);
+  const std::string answer = "HTTP/1.1 413 Too Large\r\nContent-Length: 0\r\n\r\n";
+  BOOST_REQUIRE(send(accepted, answer.data(), answer.size(), 0) ==
+                static_cast<ssize_t>(answer.size()));
+  RunUntil(loop, [&] { return reply.has_value(); });
+  BOOST_TEST(Describe(reply->result) == "finished 413");
+  reply.reset();
+  const auto call = Fetch(client, {.server = FromSocketAddress(name)}, kManyBytes,
+                          [&](HttpReply given) { reply = std::move(given); });
+  const int second = accept(listener, nullptr, nullptr);
+  BOOST_TEST(second >= 0);
+  close(second);
+  close(accepted);
+  close(listener);
+}
+
+// Guards against requests that a planned stop of the server interrupts.
+BOOST_AUTO_TEST_CASE(planned_stop_interrupts_no_request) {
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort}, EchoHandler());
+  HttpClient client(loop, {});
+  const HttpClientRequest request = {.server = server.address(), .method = "POST", .body = "hello"};
+  BOOST_TEST(Describe(Get(loop, client, request).result) == "finished 200");
+  server.StopAccepting();
+  BOOST_TEST(Describe(Get(loop, client, request).result) == "finished 200");
+  BOOST_TEST(Describe(Get(loop, client, request).result) == "not sent");
+}
+
 // Guards against surplus bytes of one answer that become part of the next.
 BOOST_AUTO_TEST_CASE(surplus_bytes_end_the_connection) {
   Loop loop;
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <random>
 
 #include "acaciaspring/net.h"
 #include "src/net/test_support.h"
@@ -275,6 +276,66 @@
   BOOST_TEST(!Contains(caller.received(), "99"));
 }
 
+// Guards against bytes of a caller that stop the whole process.
+BOOST_AUTO_TEST_CASE(damaged_requests_do_not_stop_the_server) {
+  constexpr std::uint64_t kSeed = 610;
+  constexpr int kRounds = 300;
+  Loop loop;
+  HttpServerOptions options = OnLoopback();
+  options.max_body_bytes = 100;
+  HttpServer server(loop, options,
+                    [](const HttpRequest& request, const HttpResponderPtr& responder) {
+                      responder->Respond(200, {}, request.body);
+                    });
+  const std::vector<std::string> parts = {
+      "GET ",
+      "POST ",
+      "HEAD ",
+      "CONNECT ",
+      "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+      "/",
+      "*",
+      "http://h/x",
+      "/a?b=c",
+      " HTTP/1.1\r\n",
+      " HTTP/1.0\r\n",
+      "Host: h\r\n",
+      "Content-Length: 5\r\n",
+      "Content-Length: -1\r\n",
+      "Content-Length: 99999999999999999999\r\n",
+      "Transfer-Encoding: chunked\r\n",
+      "Transfer-Encoding: x\r\n",
+      "Expect: 100-continue\r\n",
+      "Expect: x\r\n",
+      "Connection: upgrade\r\nUpgrade: h2c\r\nHTTP2-Settings: AAA\r\n",
+      "Connection: close\r\n",
+      "\r\n",
+      "\r\n\r\n",
+      "5\r\nhello\r\n",
+      "0\r\n\r\n",
+      "ffffffffffffffff\r\n",
+      "hello",
+      std::string(1, '\0'),
+      "\xff",
+      std::string(5000, 'a')};
+  std::mt19937_64 random(kSeed);
+  for (int round = 0; round < kRounds; ++round) {
+    std::string bytes = random() % 2 == 0 ? "" : "POST / HTTP/1.1\r\nHost: h\r\n";
+    for (int i = 0; i < 8; ++i) {
+      bytes += parts[random() % parts.size()];
+    }
+    RawConnection caller(loop, server.address());
+    caller.Send(bytes);
+    RunUntil(loop, [&] { return caller.connected(); });
+    // The server handles the bytes before the next request, whose connection comes later.
+    RawConnection other(loop, server.address());
+    other.Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nintact");
+    RunUntil(loop, [&] { return Contains(other.received(), "intact"); });
+  }
+  RunUntil(loop, [&] { return server.open_requests() == 0; });
+  BOOST_TEST(server.open_requests() == 0U);
+}
+
 // Guards against two processes that believe to own the same address.
 BOOST_AUTO_TEST_CASE(used_address_is_an_error) {
   Loop loop;
