--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr std::uint64_t kMinuteMs = 60'000;
-constexpr std::uint64_t kDayMs = 24 * 60 * kMinuteMs;
+constexpr std::uint64_t kDayMs = std::uint64_t{24} * 60 * kMinuteMs;
 constexpr std::size_t kMaxPathBytes = 4096;
 constexpr std::size_t kMaxSeeds = 64;
 
--- a/src/journal/checkpoint_planner_test.cc
+++ b/src/journal/checkpoint_planner_test.cc
@@ -64,7 +64,8 @@
     BOOST_TEST_REQUIRE(++rounds < 10);
     const Offset seen = log.head();
     for (Record& record : records) {
-      BOOST_TEST(IsAccepted(log.AppendSeen("d1", seen, std::move(record))));
+      const Verdict verdict = log.AppendSeen("d1", seen, std::move(record));
+      BOOST_TEST(IsAccepted(verdict));
     }
   }
   const State cut = log.FoldFrom(old_head + Offset(1));
