--- a/include/acaciaspring/journal.h
+++ b/include/acaciaspring/journal.h
@@ -125,14 +125,16 @@
   }
 };
 
-/// @brief Sets the number of tokens that the owner may spend before its next record.
+/// @brief Sets the number of tokens that the owner may spend before its next record, after adding
+/// `charged` to the spent tokens: what an attempt whose end is unknown may have cost.
 struct SpendAuthorised {
   ProgramId program;
   Epoch epoch;
   TokenCount amount;
+  TokenCount charged{};
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(program, epoch, amount);
+    archive(program, epoch, amount, charged);
   }
 };
 
--- a/src/journal/program_rules.cc
+++ b/src/journal/program_rules.cc
@@ -40,9 +40,11 @@
 }
 
 Verdict ApplyRule(Program& program, const SpendAuthorised& record) {
-  if (record.amount > Uncommitted(program)) {
+  const TokenCount uncommitted = Uncommitted(program);
+  if (record.amount > uncommitted || record.charged > uncommitted - record.amount) {
     return Rejected{RejectReason::kBudgetExhausted};
   }
+  program.spent += record.charged;
   program.authorised = record.amount;
   return Accepted{};
 }
