--- a/include/acaciaspring/telemetry.h
+++ b/include/acaciaspring/telemetry.h
@@ -62,7 +62,7 @@
   double sum() const;
   /// @brief 0 before the first value.
   double mean() const;
-  /// @brief An estimate (P-square) from the fifth value on, exact before; 0 before the first.
+  /// @brief Exact for the first 17 values, then an estimate (P-square); 0 before the first.
   double Value(Quantile quantile) const;
 
  private:
--- a/src/membership/members.cc
+++ b/src/membership/members.cc
@@ -61,6 +61,7 @@
   envelope.refutation = self.member.refutation;
   envelope.counter = next_counter++;
   envelope.digest = table.digest();
+  envelope.living = static_cast<std::uint16_t>(table.living_peers() + 1);
   envelope.status = self.status;
   envelope.body = std::move(body);
   std::size_t room = kMaxPayloadBytes - wire::Encode(envelope).size();
--- a/src/membership/messages.h
+++ b/src/membership/messages.h
@@ -159,12 +159,14 @@
   std::uint64_t counter = 0;
   /// Of the sender's member table.
   std::uint64_t digest = 0;
+  /// Number of members that the sender knows and does not hold as dead.
+  std::uint16_t living = 0;
   Status status;
   Body body;
   std::vector<Update> updates;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(sender, incarnation, refutation, counter, digest, status, body, updates);
+    archive(sender, incarnation, refutation, counter, digest, living, status, body, updates);
   }
 };
 
--- a/src/membership/receiving.cc
+++ b/src/membership/receiving.cc
@@ -8,9 +8,10 @@
 namespace {
 
 constexpr std::size_t kForwardFanout = 2;
-// Bounds what members that have just started can make a seed send. This is not left to the budget,
-// which a seed needs for its answers when all daemons start at once.
+// Answers to syncs in one period. The minimum is granted without budget, because a seed uses that
+// up for its acknowledgements when all daemons start at once.
 constexpr std::size_t kMaxSyncAnswers = 2;
+constexpr std::size_t kMinSyncAnswers = 1;
 constexpr std::size_t kMaxRelays = 64;
 // More than fit into one datagram.
 constexpr std::size_t kMaxSyncUpdates = 40;
@@ -207,11 +208,13 @@
   if (!exchange || envelope.digest == table.digest()) {
     return;
   }
-  // News that is still spreading explains a difference, so it is worth a sync only after a while. A
-  // daemon that has just started and still learns of new members goes on at once.
-  const bool wait = gossip.HasDigestNews() && !learning;
-  if (now < next_sync || budget < 0 ||
-      (wait && now < last_sync + options.probe_period * kQuietPeriods)) {
+  // News that is still spreading explains a difference, and a sender that knows fewer members has
+  // probably just started and has little to tell: both are worth a sync only after a while. A
+  // daemon that has just started itself goes on as long as it learns of new members, whatever the
+  // budget.
+  const bool wait = gossip.HasDigestNews() || envelope.living < table.living_peers() + 1;
+  const bool quiet = now >= last_sync + options.probe_period * kQuietPeriods;
+  if (now < next_sync || (!learning && (budget < 0 || (wait && !quiet)))) {
     return;
   }
   next_sync = now + options.probe_period;
@@ -226,7 +229,7 @@
 void Members::Impl::AnswerSync(const SyncRequest& request,
                                const net::Address& from,
                                Datagrams& out) {
-  if (sync_answers >= kMaxSyncAnswers) {
+  if (sync_answers >= (budget < 0 ? kMinSyncAnswers : kMaxSyncAnswers)) {
     return;
   }
   ++sync_answers;
