Report the calls that give way; stop refunds from creating share claims

A stream paused or ended early gave its class credit that had never been charged (charges by rank are cut off at the burst), so the flooding class became owed and blocked preemption.

--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -140,8 +140,9 @@
 struct LoadReport {
   std::uint32_t running = 0;
   std::uint32_t waiting = 0;
-  /// Waiting calls by rank; all 0 if the sender doesn't know. A call overtakes less urgent ones.
-  RankCounts waiting_by_rank{};
+  /// Calls by rank that give way to more urgent ones: waiting calls, and running ones that may be
+  /// paused (see CountPausable()). All 0 if the sender doesn't know.
+  RankCounts yielding_by_rank{};
   TokenCount kv_used{};
   TokenCount kv_capacity{};
   bool leaving = false;
@@ -266,7 +267,7 @@
   void AddRandom(const RoutingRequest& request,
                  const std::vector<std::uint32_t>& serving,
                  std::mt19937_64& random);
-  /// Running and waiting calls, and those of them that a call of `rank` overtakes.
+  /// Running and waiting calls, and those of them that give way to a call of `rank`.
   std::pair<double, double> Load(const State& state, std::uint32_t rank) const;
   EndpointChoice Estimate(const RoutingRequest& request, const Candidate& candidate) const;
 
--- a/include/acaciaspring/scheduling.h
+++ b/include/acaciaspring/scheduling.h
@@ -55,8 +55,11 @@
   std::vector<PriorityClassPolicy> classes{};
   std::unordered_map<OrganisationId, double> organisation_weights{};
   double default_weight = 1;
-  /// Cost that an organisation of weight 1 may spend per round.
-  double quantum = 1024;
+  /// Cost that an organisation of weight 1 may spend per round; about the cost of a small call,
+  /// since an organisation may have to wait until each other one has spent a quantum.
+  double quantum = 128;
+  /// Cost that a class may claim at once after it was idle, and that service by rank may count for.
+  double share_burst = 1024;
   /// Cost of a prompt token in units of an output token.
   double prompt_token_cost = 0.1;
   /// Attained service that one second of waiting makes up for.
--- a/src/bench/dispatcher.cc
+++ b/src/bench/dispatcher.cc
@@ -45,11 +45,18 @@
           .pausable = preempts ? CountPausable(queue_, priority_class, RunningCalls()) : 0};
 }
 
-RankCounts Dispatcher::WaitingByRank() const {
+RankCounts Dispatcher::YieldingByRank() const {
   RankCounts counts{};
   for (const auto& [key, count] : queued_) {
     counts[key.first] += static_cast<std::uint32_t>(count);
   }
+  if (strategy_.preemption) {
+    for (const RunningCall& call : RunningCalls()) {
+      const bool yields =
+          call.resumable && !call.on_minimum_share && call.pauses < PreemptionOptions().max_pauses;
+      counts[Rank(call.priority_class)] += yields ? 1 : 0;
+    }
+  }
   return counts;
 }
 
--- a/src/bench/dispatcher.h
+++ b/src/bench/dispatcher.h
@@ -32,7 +32,7 @@
   /// @brief Drops all queued and running calls and returns their ids.
   std::vector<std::uint64_t> Fail();
 
-  RankCounts WaitingByRank() const;
+  RankCounts YieldingByRank() const;
   std::size_t waiting() const { return queue_.size(); }
   std::uint64_t pauses() const { return pauses_; }
   /// @brief Refused calls, by class, that would have started within their target.
--- a/src/bench/engine.cc
+++ b/src/bench/engine.cc
@@ -1,6 +1,7 @@
 #include "src/bench/engine.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acaciaspring::bench {
 
@@ -170,12 +171,15 @@
   const auto found = std::ranges::find(streams_, call, &Stream::call);
   Stream stream = *found;
   streams_.erase(found);
-  const std::uint32_t whole = stream.prompt + stream.generated;
+  const auto computed =
+      stream.prompt + stream.generated - static_cast<std::uint32_t>(std::ceil(stream.prefill_left));
   stream_tokens_ -= stream.private_tokens;
   Unpin(stream);
-  // Without the shared part in front of it the program's part could not be found again.
-  if (stream.prefill_left <= 0 && items_.contains(stream.shared)) {
-    Store(stream.program, whole - std::min(whole, stream.shared_tokens), whole, now);
+  if (computed >= stream.shared_tokens && !items_.contains(stream.shared)) {
+    Store(stream.shared, stream.shared_tokens, stream.shared_tokens, now);
+  }
+  if (computed > stream.shared_tokens) {
+    Store(stream.program, computed - stream.shared_tokens, computed, now);
   }
   stream.started = false;
   return stream;
--- a/src/bench/simulation.cc
+++ b/src/bench/simulation.cc
@@ -374,7 +374,7 @@
     Report report{.engine = index,
                   .load = {.running = dispatcher.engine.running(),
                            .waiting = static_cast<std::uint32_t>(dispatcher.waiting()),
-                           .waiting_by_rank = dispatcher.WaitingByRank(),
+                           .yielding_by_rank = dispatcher.YieldingByRank(),
                            .kv_used = TokenCount(dispatcher.engine.kv_used()),
                            .kv_capacity = TokenCount(dispatcher.engine.options().kv_capacity),
                            .sampled_at = At(now_)},
--- a/src/routing/endpoint_chooser.cc
+++ b/src/routing/endpoint_chooser.cc
@@ -211,20 +211,20 @@
     // Calls of others, as of the report, plus the own calls that are in flight now.
     load = std::max(0.0, load - state.own_at_report) + state.own;
   }
-  double overtaken = 0;
+  double yielding = 0;
   for (std::size_t i = std::size_t{rank} + 1; options_.use_ranks && i < kRanks; ++i) {
-    overtaken += report.waiting_by_rank[i];
+    yielding += report.yielding_by_rank[i];
   }
-  return {load, std::min(overtaken, load)};
+  return {load, std::min(yielding, load)};
 }
 
 EndpointChoice EndpointChooser::Estimate(const RoutingRequest& request,
                                          const Candidate& candidate) const {
   const State& state = states_[candidate.endpoint];
   const EndpointSpeed& speed = state.description.speed;
-  const auto [load, overtaken] = Load(state, request.rank);
+  const auto [load, yielding] = Load(state, request.rank);
   const double concurrency = std::max(1U, speed.concurrency);
-  const double ahead = std::max(0.0, load - overtaken + 1 - concurrency);
+  const double ahead = std::max(0.0, load - yielding + 1 - concurrency);
   const double wait = ahead * state.mean_service_us / concurrency;
   double run = Microseconds(request.expected_duration);
   if (speed.prefill_tokens_per_second > 0) {
--- a/src/routing/endpoint_chooser_test.cc
+++ b/src/routing/endpoint_chooser_test.cc
@@ -112,7 +112,7 @@
 BOOST_AUTO_TEST_CASE(less_urgent_calls_do_not_count_as_ahead) {
   fleet.cache().OnCompletion(Name(3), PrefixId(7), TokenCount(20'000), At(0));
   LoadReport report{.running = 4, .waiting = 20, .sampled_at = At(1)};
-  report.waiting_by_rank = {0, 0, 20};
+  report.yielding_by_rank = {0, 0, 20};
   fleet.OnLoad(Name(3), report);
   const EndpointChoice urgent = Choose(Request());
   BOOST_TEST((urgent.endpoint == Name(3)));
--- a/src/scheduling/endpoint_queue.cc
+++ b/src/scheduling/endpoint_queue.cc
@@ -14,14 +14,15 @@
     shares += policy.minimum_share;
     ranks.insert(policy.rank);
   }
-  const bool positive = options.quantum > 0 && options.default_weight > 0 &&
+  const bool positive = options.quantum > 0 && options.share_burst > 0 &&
+                        options.default_weight > 0 &&
                         std::ranges::all_of(options.organisation_weights,
                                             [](const auto& entry) { return entry.second > 0; });
   if (options.classes.empty() || ranks.size() != options.classes.size() || shares >= 1 ||
       !positive) {
     throw SchedulingError(SchedulingError::Kind::kInvalidOptions,
                           "endpoint queue: classes need distinct ranks and shares below 1 in sum; "
-                          "quantum and weights must be positive");
+                          "quantum, burst and weights must be positive");
   }
 }
 
@@ -173,20 +174,20 @@
   }
 }
 
-// What a class gets by rank counts towards its share as well, up to a quantum; without that a class
+// What a class gets by rank counts towards its share as well, up to a burst; without that a class
 // that gets most of the service in idle moments would still claim its share from urgent calls. A
-// class without calls saves up claims to a quantum, so that calls that arrive in bursts or one
+// class without calls saves up claims to a burst, so that calls that arrive in bursts or one
 // after the other get its share too.
 void EndpointQueue::Charge(std::size_t served, double cost, bool below_share) {
   for (std::size_t i = 0; i < classes_.size(); ++i) {
     ClassQueue& queue = classes_[i];
     queue.credit += queue.policy.minimum_share * cost;
     if (i == served) {
-      const double lowest = below_share ? -HUGE_VAL : std::min(queue.credit, -options_.quantum);
+      const double lowest = below_share ? -HUGE_VAL : std::min(queue.credit, -options_.share_burst);
       queue.credit = std::max(queue.credit - cost, lowest);
     }
     if (queue.round.empty()) {
-      queue.credit = std::min(queue.credit, options_.quantum);
+      queue.credit = std::min(queue.credit, options_.share_burst);
     }
   }
 }
@@ -242,7 +243,11 @@
   if (organisation != queue.organisations.end()) {
     organisation->second.deficit -= difference;
   }
-  Charge(index, difference, call.served_below_share);
+  // The charge for a call served by rank may have been cut off at the burst, so giving a part of it
+  // back would turn unused output into claims.
+  if (difference > 0 || call.served_below_share) {
+    Charge(index, difference, call.served_below_share);
+  }
 }
 
 std::optional<MonotonicTime> EndpointQueue::NextDeadline() const {
--- a/src/scheduling/endpoint_queue_test.cc
+++ b/src/scheduling/endpoint_queue_test.cc
@@ -95,6 +95,21 @@
   BOOST_TEST(holds);
 }
 
+// Guards against claims that arise from calls that use less than expected or are paused.
+BOOST_AUTO_TEST_CASE(unused_output_of_calls_served_by_rank_gives_no_claims) {
+  EndpointQueue queue(Options());
+  for (std::uint64_t id = 1; id <= 50; ++id) {
+    queue.Push(Call(id, kBatch, 1000));
+    const auto call = queue.Pop(At(0));
+    BOOST_REQUIRE(call.has_value());
+    queue.OnServed(*call, TokenCount(0), TokenCount(1));
+  }
+  queue.Push(Call(100, kBatch));
+  queue.Push(Call(101, kUrgent));
+  BOOST_TEST(!queue.BelowMinimumShare(kBatch));
+  BOOST_TEST(PopId(queue) == 101U);
+}
+
 // Guards against an organisation that gets more than its weight by sending more or larger calls.
 BOOST_AUTO_TEST_CASE(serves_backlogged_organisations_by_weight) {
   const bool holds = rc::check("deficit round robin", [] {
