--- a/src/main/test_main.cc
+++ b/src/main/test_main.cc
@@ -1,2 +1,2 @@
 #define BOOST_TEST_MODULE acaciaspring
-#include <boost/test/included/unit_test.hpp>
+#include <boost/test/unit_test.hpp>
