Send NotRun answers with status 5xx to another entry; answer 404 to an unknown KV release

A daemon that is starting answers 503 with NotRun and no retry delay, at which the load tool gave the call up although another entry could serve it. The endpoint package takes 404 from /kv/release for "nothing was held", so the fake engine answers that instead of a count of 0; the test expects the status and is as strict as before.

--- a/fakes/fake_engine.cc
+++ b/fakes/fake_engine.cc
@@ -114,8 +114,13 @@
   if (program.empty()) {
     return;
   }
+  const std::optional<std::uint64_t> tokens = holds_.Release(program);
+  if (!tokens) {
+    AnswerError(call.responder, 404, "no_hold", "the program holds no KV memory");
+    return;
+  }
   Json::Value body;
-  body["released"] = static_cast<Json::UInt64>(holds_.Release(program));
+  body["released"] = static_cast<Json::UInt64>(*tokens);
   AnswerJson(call.responder, 200, body);
 }
 
--- a/fakes/fake_engine_test.cc
+++ b/fakes/fake_engine_test.cc
@@ -119,7 +119,7 @@
   BOOST_TEST(bench.client.AskJson("GET", "/kv/holds")["holds"].empty());
   BOOST_TEST(bench.client.AskJson("POST", "/kv/import", program)["tokens"].asUInt64() == tokens);
   BOOST_TEST(bench.client.AskJson("POST", "/kv/release", program)["released"].asUInt64() == tokens);
-  BOOST_TEST(bench.client.AskJson("POST", "/kv/release", program)["released"].asUInt64() == 0U);
+  BOOST_TEST(StatusOf(bench.client.Ask("POST", "/kv/release", program)) == 404);
   // A copy that was exported moves to another engine.
   EngineBench other(Fast());
   BOOST_TEST(StatusOf(other.client.Ask("POST", "/kv/import", program)) == 404);
--- a/fakes/kv_holds.cc
+++ b/fakes/kv_holds.cc
@@ -29,11 +29,11 @@
   held_[program] = std::move(chain);
 }
 
-std::uint64_t KvHolds::Release(const std::string& program) {
-  exported_.erase(program);
+std::optional<std::uint64_t> KvHolds::Release(const std::string& program) {
+  const bool was_exported = exported_.erase(program) > 0;
   const auto found = held_.find(program);
   if (found == held_.end()) {
-    return 0;
+    return was_exported ? std::optional<std::uint64_t>(0) : std::nullopt;
   }
   const std::uint64_t tokens = CountTokens(found->second);
   cache_.Unpin(found->second);
--- a/fakes/kv_holds.h
+++ b/fakes/kv_holds.h
@@ -20,8 +20,9 @@
 
   /// @brief Keeps the cached part of a chain; replaces an earlier hold of the program.
   void Hold(const std::string& program, BlockChain chain);
-  /// @brief Drops the hold and the exported copy. Returns the tokens that were held.
-  std::uint64_t Release(const std::string& program);
+  /// @brief Drops the hold and the exported copy. Returns the tokens that were held; nothing when
+  /// there was neither.
+  std::optional<std::uint64_t> Release(const std::string& program);
   /// @brief Moves the hold out of the engine's memory; nothing when there is no hold.
   std::optional<BlockChain> Export(const std::string& program);
   /// @brief Holds a chain again; false when it does not fit.
--- a/src/load/load_run_test.cc
+++ b/src/load/load_run_test.cc
@@ -73,11 +73,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(refused_calls_are_sent_again) {
-  const Report report = RunLoad({.refuse = true}).report;
-  BOOST_TEST(report.programs_failed == 0U);
-  BOOST_TEST(report.retries > 0U);
-  BOOST_TEST(report.calls_not_run == 0U);
-  BOOST_TEST(report.correct());
+  for (const TestSystemFaults& faults :
+       {TestSystemFaults{.refuse = true}, TestSystemFaults{.not_ready = true}}) {
+    const Report report = RunLoad(faults).report;
+    BOOST_TEST(report.programs_failed == 0U);
+    BOOST_TEST(report.retries > 0U);
+    BOOST_TEST(report.calls_not_run == 0U);
+    BOOST_TEST(report.correct());
+  }
 }
 
 // A dead entry must cost a retry and no program; nothing was sent, so no call is in doubt.
--- a/src/load/retrying_call.cc
+++ b/src/load/retrying_call.cc
@@ -138,8 +138,9 @@
   const std::string outcome = StringField(error, "outcome");
   const Duration delay = RetryAfter(error);
   if (outcome == "not_run") {
-    if (delay.count() > 0) {
-      Retry(delay, CallEnd::kNotRun);
+    // A 5xx answer means that this entry cannot serve the call now; another one may.
+    if (delay.count() > 0 || status_ >= 500) {
+      Retry(std::max(delay, backoff_), CallEnd::kNotRun);
     } else {
       Finish(CallEnd::kNotRun);
     }
--- a/src/load/test_system.h
+++ b/src/load/test_system.h
@@ -18,6 +18,8 @@
   bool cut = false;
   /// Answers NotRun with a retry delay.
   bool refuse = false;
+  /// Answers 503 with NotRun and without a retry delay, as an entry that is starting does.
+  bool not_ready = false;
   /// Closes the connection of a tool call after its execution.
   bool drop_tool_answers = false;
   /// Answers Unknown to calls of the effect service, always.
@@ -81,16 +83,24 @@
     return seen_.insert(what + key).second;
   }
 
+  void RefuseAsNotRun(const net::HttpResponderPtr& responder, int status, int retry_after_ms) {
+    Json::Value body;
+    body["error"]["code"] = "overloaded";
+    body["error"]["outcome"] = "not_run";
+    body["error"]["retry_after_ms"] = retry_after_ms;
+    fakes::AnswerJson(responder, status, body);
+  }
+
   void Chat(const net::HttpRequest& request,
             const std::string& key,
             const std::string& program,
             const net::HttpResponderPtr& responder) {
     if (faults_.refuse && FirstTime("refuse", key)) {
-      Json::Value body;
-      body["error"]["code"] = "overloaded";
-      body["error"]["outcome"] = "not_run";
-      body["error"]["retry_after_ms"] = 1;
-      fakes::AnswerJson(responder, 503, body);
+      RefuseAsNotRun(responder, 429, 1);
+      return;
+    }
+    if (faults_.not_ready && FirstTime("not_ready", key)) {
+      RefuseAsNotRun(responder, 503, 0);
       return;
     }
     std::vector<fakes::Message>& history = histories_[program];
