--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -21,7 +21,8 @@
 acaciaspring_program(fake_weights SOURCES fakes/fake_weights.cc DEPENDS acaciaspring_fake_service)
 
 add_executable(fakes_test fakes/answer_test.cc fakes/cache_events_test.cc fakes/engine_batch_test.cc
-  fakes/engine_orders_test.cc fakes/fake_engine_test.cc fakes/fake_log_test.cc fakes/log_stream_test.cc
+  fakes/engine_orders_test.cc fakes/fake_engine_test.cc fakes/fake_log_test.cc fakes/fake_tools_test.cc
+  fakes/log_stream_test.cc
   fakes/prefix_cache_test.cc src/main/test_main.cc)
 target_link_libraries(fakes_test PRIVATE acaciaspring_fake_service Boost::unit_test_framework)
 add_test(NAME fakes COMMAND fakes_test --log_level=test_suite)
