Keep the parsed bytes alive in the test of malformed answers

Cause: the address sanitizer reported a read of a temporary string in the test, not in the package. Change: the test holds the body that its entries point into. Conclusion: only the test was at fault.

--- a/src/journal/journal_test.cc
+++ b/src/journal/journal_test.cc
@@ -225,7 +225,8 @@
 // An answer that is cut off must not be folded up to a wrong entry.
 BOOST_AUTO_TEST_CASE(malformed_answers_are_refused) {
   const std::string entry("\0\0\0\0\0\0\0\7\0\0\0\0\0\0\0\1\0\0\0\2ab", 22);
-  const auto entries = ParseEntries(entry + entry);
+  const std::string body = entry + entry;
+  const auto entries = ParseEntries(body);
   BOOST_TEST_REQUIRE(entries.has_value());
   BOOST_TEST(entries->size() == 2U);
   BOOST_TEST((*entries)[1].offset.value() == 7U);
