Copy the entry that the test log repeats

Cause: the address sanitizer reported that the test log read an entry while its vector grew. Change: the test log takes batches by value. Conclusion: only the test was at fault.

--- a/src/journal/test_log.h
+++ b/src/journal/test_log.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "acaciaspring/journal.h"
@@ -28,10 +29,10 @@
   /// @brief Appends the entry at `offset` once more, as after a lost acknowledgement.
   Verdict Repeat(Offset offset) { return AppendBatch(entries_.at(offset.value() - 1).batch); }
 
-  Verdict AppendBatch(const Batch& batch) {
+  Verdict AppendBatch(Batch batch) {
     time_ms_ += 10;
-    entries_.push_back({time_ms_, batch});
-    return state_.Apply(head(), Time(time_ms_), batch).front().verdict;
+    entries_.push_back({time_ms_, std::move(batch)});
+    return state_.Apply(head(), Time(time_ms_), entries_.back().batch).front().verdict;
   }
 
   /// @brief Fold of the entries from `first` on, as after a cut by retention.
