--- a/include/acaciaspring/membership.h
+++ b/include/acaciaspring/membership.h
@@ -64,8 +64,9 @@
   /// Bytes of member updates in one datagram.
   std::size_t max_piggyback_bytes = 1000;
   /// Limits what is sent, with IP, UDP and authentication headers. Member updates wait when it is
-  /// used up; probes and their answers don't. As much is received as sent on average.
-  std::size_t max_sent_bytes_per_second = 2048;
+  /// used up; probes and their answers don't. As much is received as sent on average, and unevenly:
+  /// the default leaves room below half of the design's 4 KB/s.
+  std::size_t max_sent_bytes_per_second = 1600;
 };
 
 /// @brief A payload to seal and send to the peer address of a daemon.
--- a/src/membership/gossip_queue.cc
+++ b/src/membership/gossip_queue.cc
@@ -1,5 +1,6 @@
 #include "src/membership/gossip_queue.h"
 
+#include <algorithm>
 #include <bit>
 #include <utility>
 #include <vector>
@@ -29,17 +30,21 @@
   return !order_.empty() && std::get<NewsKind>(*order_.begin()) != NewsKind::kRevision;
 }
 
-std::uint32_t GossipQueue::TransmissionLimit(std::size_t members) {
+std::uint32_t GossipQueue::TransmissionLimit(NewsKind kind, std::size_t members) {
   // When every member sends news to k random members, a share of about exp(-k) does not hear it:
   // log2(n) + 3 leaves less than one member in 20 n. Comparing digests repairs the rest.
+  // A changed revision affects every member at once, so that log2(n) + 3 transmissions would take
+  // longer at 420 members than the two minutes between two changes. The digest does not cover the
+  // revision; each datagram states that of its sender, which repairs what is missed.
   const auto log_members = static_cast<std::uint32_t>(std::bit_width(members));
-  return log_members + 3;
+  return kind == NewsKind::kRevision ? std::min<std::uint32_t>(log_members + 3, 8)
+                                     : log_members + 3;
 }
 
 void GossipQueue::CountTransmission(Item item, std::size_t members) {
   auto& [kind, count, id] = item;
   order_.erase(item);
-  if (++count >= TransmissionLimit(members)) {
+  if (++count >= TransmissionLimit(kind, members)) {
     transmissions_.erase({id, kind});
     return;
   }
--- a/src/membership/gossip_queue.h
+++ b/src/membership/gossip_queue.h
@@ -32,7 +32,7 @@
   /// the number of transmissions.
   void Visit(std::size_t members, const std::function<bool(const DaemonId&, NewsKind)>& take);
   /// @brief Transmissions of one piece of news among that many members.
-  static std::uint32_t TransmissionLimit(std::size_t members);
+  static std::uint32_t TransmissionLimit(NewsKind kind, std::size_t members);
 
  private:
   /// Kind, transmissions so far, member.
--- a/src/membership/members_impl.h
+++ b/src/membership/members_impl.h
@@ -112,9 +112,10 @@
   std::vector<DaemonId> hinted;
   std::optional<MonotonicTime> last_tick;
   MonotonicTime next_period;
+  std::uint64_t periods = 0;
   MonotonicTime next_sync;
   MonotonicTime last_sync;
-  /// Syncs still bring members that were unknown.
+  /// This daemon has just started, and syncs still bring members that were unknown.
   bool learning = true;
   /// Bytes that may be sent now; probes and answers can make it negative.
   double budget = 0;
--- a/src/membership/probing.cc
+++ b/src/membership/probing.cc
@@ -14,6 +14,9 @@
 constexpr std::size_t kMaxExtraProbes = 4;
 // Periods between two probes that a dead member or an unknown seed gets from the whole cluster.
 constexpr std::uint64_t kReconnectPeriods = 2;
+// A daemon that has just started and knows fewer members probes every second period only: after a
+// start of the whole cluster these few are the seeds, which everybody probes.
+constexpr std::size_t kFewPeers = 16;
 // The VM list is polled about once a second; a hint is not worth a probe each time.
 constexpr int kHintPeriods = 10;
 
@@ -83,10 +86,17 @@
   next_period = std::max(next_period + options.probe_period, now);
   sync_answers = 0;
   ForgetDead(now);
-  ProbeNext(now, out);
   ProbeSuspects(now, out);
   ProbeHinted(now, out);
-  Reconnect(out);
+  ++periods;
+  const bool knows_few = learning && table.living_peers() < kFewPeers;
+  if (knows_few && periods % 2 == 0) {
+    return;
+  }
+  ProbeNext(now, out);
+  if (!knows_few || table.living_peers() == 0) {
+    Reconnect(out);
+  }
 }
 
 void Members::Impl::SendProbe(const Entry& target, MonotonicTime now, Datagrams& out) {
--- a/src/membership/receiving.cc
+++ b/src/membership/receiving.cc
@@ -17,18 +17,11 @@
 constexpr std::size_t kMaxSyncUpdates = 40;
 constexpr int kQuietPeriods = 10;
 
-NewsKind NewsKindOf(const Update& update) {
-  return update.Is(UpdateKind::kStatus) ? NewsKind::kRevision : NewsKind::kLiveness;
-}
-
-/// @brief True if the update states what the table already holds.
+/// @brief True if the update states the liveness that the table already holds.
 bool IsCurrent(const Update& update, const Entry& entry) {
   if (update.incarnation != entry.member.incarnation) {
     return false;
   }
-  if (update.Is(UpdateKind::kStatus)) {
-    return update.status.version == entry.status.version;
-  }
   const bool same = (update.Is(UpdateKind::kAlive) && entry.liveness == Liveness::kAlive) ||
                     (update.Is(UpdateKind::kSuspect) && entry.liveness == Liveness::kSuspect) ||
                     (update.Is(UpdateKind::kDead) && entry.liveness == Liveness::kDead);
@@ -56,7 +49,7 @@
     TakeUpdate(update, introduction, now, out);
   }
   if (sync) {
-    learning = table.entries().size() > known_before;
+    learning = learning && table.entries().size() > known_before;
   }
   TakeSenderState(*envelope, now, out);
   const Entry* sender = table.Find(envelope->sender);
@@ -123,9 +116,9 @@
   const bool was_known = table.Find(update.id) != nullptr;
   Change change = table.Apply(update, now);
   const Entry* entry = table.Find(update.id);
-  if (entry != nullptr && !change.liveness && !change.flags && !change.revision &&
-      IsCurrent(update, *entry)) {
-    gossip.Heard(update.id, NewsKindOf(update), table.living_peers() + 1);
+  if (entry != nullptr && !update.Is(UpdateKind::kStatus) && !change.liveness && !change.flags &&
+      !change.revision && IsCurrent(update, *entry)) {
+    gossip.Heard(update.id, NewsKind::kLiveness, table.living_peers() + 1);
   }
   if (!was_known && introduction && change.joined) {
     // A daemon that has just started learns about everybody; the others know each other already.
@@ -205,7 +198,11 @@
                               Datagrams& out) {
   const bool exchange =
       std::holds_alternative<Probe>(envelope.body) || std::holds_alternative<Ack>(envelope.body);
-  if (!exchange || envelope.digest == table.digest()) {
+  if (!exchange) {
+    return;
+  }
+  if (envelope.digest == table.digest()) {
+    learning = false;
     return;
   }
   // News that is still spreading explains a difference, and a sender that knows fewer members has
--- a/src/placement/shard_planner.cc
+++ b/src/placement/shard_planner.cc
@@ -133,14 +133,14 @@
   if (!shard.owner.has_value() || shard.owner->released) {
     return true;
   }
+  if (shard.owner->owner == options.self) {
+    return shard.owner->incarnation < options.incarnation;
+  }
   const auto found = peers.find(shard.owner->owner);
   if (found == peers.end()) {
     return true;
   }
   const Peer& peer = found->second;
-  if (shard.owner->owner == options.self) {
-    return shard.owner->incarnation < options.incarnation;
-  }
   if (peer.state == MemberState::kDead) {
     return !IsContested(now, peer);
   }
