--- a/src/placement/shard_planner_test.cc
+++ b/src/placement/shard_planner_test.cc
@@ -19,7 +19,7 @@
 namespace {
 
 struct FixedSeed {
-  FixedSeed() { setenv("RC_PARAMS", "seed=20261204 max_success=60 max_size=30", 1); }
+  FixedSeed() { setenv("RC_PARAMS", "seed=20261204 max_success=60 max_size=100", 1); }
 };
 
 /// @brief Planners of several daemons with a shared log in virtual time. All see the same members.
@@ -202,10 +202,12 @@
   BOOST_TEST(rc::check([] {
     constexpr std::size_t kDaemons = 6;
     Cluster cluster(kDaemons);
+    // Past the minimum ownership, so that hand-overs start at once.
+    cluster.Run(seconds(15));
     const auto events = *rc::gen::inRange(1, 12);
     for (int event = 0; event < events; ++event) {
       ApplyEvent(cluster, kDaemons);
-      for (int call = 0; call < 20; ++call) {
+      for (int call = 0; call < 200; ++call) {
         cluster.StartCall(*rc::gen::inRange<std::uint16_t>(0, kShardCount));
       }
       cluster.Run(milliseconds(*rc::gen::inRange(0, 15) * 500));
