--- a/src/bench/engine.cc
+++ b/src/bench/engine.cc
@@ -139,7 +139,11 @@
     if (stream.prefill_left <= 0 && !items_.contains(stream.shared)) {
       // The prompt's shared part becomes an entry of its own for other programs.
       Store(stream.shared, stream.shared_tokens, stream.shared_tokens, now);
-      items_.at(stream.shared).pins = 1;
+      const auto shared = items_.find(stream.shared);
+      if (shared == items_.end()) {
+        continue;  // There was no room for it.
+      }
+      shared->second.pins = 1;
       stream.pinned = true;
       stream.private_tokens -= stream.shared_tokens;
       stream_tokens_ -= stream.shared_tokens;
--- a/src/bench/simulation.cc
+++ b/src/bench/simulation.cc
@@ -61,12 +61,12 @@
       : deployment_(deployment), strategy_(strategy), options_(options), random_(options.seed) {
     const auto engines = static_cast<std::size_t>(deployment.endpoints);
     for (std::size_t i = 0; i < engines; ++i) {
-      dispatchers_.push_back(std::make_unique<Dispatcher>(deployment, strategy, EngineOptions()));
+      dispatchers_.push_back(std::make_unique<Dispatcher>(deployment, strategy_, options.engine));
       Schedule(options.report_interval_s * static_cast<double>(i) / static_cast<double>(engines),
                EventType::kSample, i);
     }
     for (std::size_t i = 0; i < static_cast<std::size_t>(options.homes); ++i) {
-      routers_.emplace_back(strategy_, i, engines, EngineOptions(), options.seed);
+      routers_.emplace_back(strategy_, i, engines, options.engine, options.seed);
       pauses_.emplace_back();
       outputs_.emplace_back(deployment.classes.size(), 128.0);
     }
@@ -470,6 +470,7 @@
 }
 
 double MeasureCapacity(const Deployment& deployment,
+                       const Strategy& strategy,
                        std::size_t priority_class,
                        std::uint64_t seed) {
   Deployment single = deployment;
@@ -477,7 +478,7 @@
   RunOptions options;
   options.seed = seed;
   options.horizon = {.warm_up_s = 300, .measured_s = 600, .drain_s = 0};
-  Simulation simulation(single, Baseline(Router::kLeastLoaded), options);
+  Simulation simulation(single, strategy, options);
   std::mt19937_64 random(seed);
   simulation.KeepProgramsInProgress();
   const auto slots = static_cast<std::uint64_t>(single.endpoints) * EngineOptions().slots;
--- a/src/bench/simulation.h
+++ b/src/bench/simulation.h
@@ -63,6 +63,7 @@
 };
 
 struct RunOptions {
+  EngineOptions engine;
   Workload workload = Workload::kNormal;
   Horizon horizon;
   std::uint64_t seed = 1;
@@ -79,9 +80,10 @@
                    const std::vector<ProgramSpec>& programs,
                    const RunOptions& options);
 
-/// @brief Programs per second that least-loaded routing completes at saturation if it serves only
-/// the class; pauses are left out, so that a fixed number of programs saturates the engines.
+/// @brief Programs per second that the strategy completes at saturation if the deployment serves
+/// only the class; pauses are left out, so that a fixed number of programs saturates the engines.
 double MeasureCapacity(const Deployment& deployment,
+                       const Strategy& strategy,
                        std::size_t priority_class,
                        std::uint64_t seed);
 
--- a/src/bench/workload.cc
+++ b/src/bench/workload.cc
@@ -103,6 +103,10 @@
       return "endpoint-loss";
     case Workload::kOrganisationFlood:
       return "organisation-flood";
+    case Workload::kBusyDay:
+      return "busy-day";
+    case Workload::kTightMemory:
+      return "tight-memory";
   }
   return "";
 }
@@ -144,6 +148,9 @@
     for (double at = from + gap(random); at < horizon.end_of_arrivals(); at += gap(random)) {
       programs.push_back(DrawProgram(deployment, c, ++number, random));
       programs.back().start_s = at;
+      for (Turn& turn : programs.back().turns) {
+        turn.pause_s *= workload == Workload::kTightMemory ? 4 : 1;
+      }
       if (org >= 0) {
         programs.back().organisation = org;
       }
--- a/src/bench/workload.h
+++ b/src/bench/workload.h
@@ -60,10 +60,15 @@
   kMostUrgentFlood,
   kEndpointLoss,
   kOrganisationFlood,
+  /// 85 % of what the policy completes at saturation, which overloads least-loaded routing.
+  kBusyDay,
+  /// A busy day with little cache memory and pauses of four times the length.
+  kTightMemory,
 };
-inline constexpr Workload kWorkloads[] = {Workload::kNormal, Workload::kLeastUrgentFlood,
-                                          Workload::kMostUrgentFlood, Workload::kEndpointLoss,
-                                          Workload::kOrganisationFlood};
+inline constexpr Workload kWorkloads[] = {
+    Workload::kNormal,       Workload::kLeastUrgentFlood,  Workload::kMostUrgentFlood,
+    Workload::kEndpointLoss, Workload::kOrganisationFlood, Workload::kBusyDay,
+    Workload::kTightMemory};
 std::string_view Name(Workload workload);
 
 /// @brief The organisation that floods in kOrganisationFlood.
--- a/src/main/policy_bench.cc
+++ b/src/main/policy_bench.cc
@@ -39,6 +39,9 @@
         Job& job = jobs[j];
         RunOptions options;
         options.workload = job.workload;
+        if (job.workload == Workload::kTightMemory) {
+          options.engine.kv_capacity = 150'000;
+        }
         options.seed = job.seed;
         const auto programs =
             Generate(*job.deployment, job.workload, *job.capacity, options.horizon, job.seed);
@@ -51,6 +54,7 @@
 int Run(const Options& options) {
   const std::vector<Deployment> deployments{MillTicketDesk(), SaddleFitting()};
   std::vector<std::vector<double>> capacities(deployments.size());
+  std::vector<std::vector<double>> policy_capacities(deployments.size());
   std::vector<Job> jobs;
   Metrics metrics;
   for (std::size_t d = 0; d < deployments.size(); ++d) {
@@ -58,20 +62,28 @@
     if (!options.deployment.empty() && deployment.name != options.deployment) {
       continue;
     }
+    // Without admission, which would end some of the fixed number of programs.
+    Strategy policy = Baseline(Router::kPolicy);
+    policy.admission = false;
     for (std::size_t c = 0; c < deployment.classes.size(); ++c) {
-      capacities[d].push_back(MeasureCapacity(deployment, c, options.seed));
-      metrics[deployment.name + ".capacity." + deployment.classes[c].policy.id.value()] = {
-          .unit = "programs/s", .values = {capacities[d].back()}};
+      const std::string name =
+          deployment.name + ".capacity." + deployment.classes[c].policy.id.value();
+      capacities[d].push_back(
+          MeasureCapacity(deployment, Baseline(Router::kLeastLoaded), c, options.seed));
+      policy_capacities[d].push_back(MeasureCapacity(deployment, policy, c, options.seed));
+      metrics[name + ".least-loaded"] = {.unit = "programs/s", .values = {capacities[d].back()}};
+      metrics[name + ".policy"] = {.unit = "programs/s", .values = {policy_capacities[d].back()}};
     }
     for (const Workload workload : kWorkloads) {
       if (!options.workload.empty() && Name(workload) != options.workload) {
         continue;
       }
+      const bool busy = workload == Workload::kBusyDay || workload == Workload::kTightMemory;
       for (const Strategy& strategy : AllStrategies()) {
         for (int repeat = 0; repeat < options.repeats; ++repeat) {
           if (options.strategy.empty() || strategy.name == options.strategy) {
             jobs.push_back({.deployment = &deployment,
-                            .capacity = &capacities[d],
+                            .capacity = busy ? &policy_capacities[d] : &capacities[d],
                             .workload = workload,
                             .strategy = strategy,
                             .seed = options.seed + static_cast<std::uint64_t>(repeat),
@@ -104,8 +116,8 @@
       "threads", po::value(&options.threads)->default_value(4), "runs at a time")(
       "csv", po::bool_switch(&options.csv), "print CSV with min and max columns")(
       "workload", po::value(&options.workload),
-      "normal, least-urgent-flood, most-urgent-flood, endpoint-loss or organisation-flood")(
-      "deployment", po::value(&options.deployment), "mill or saddle")(
+      "normal, least-urgent-flood, most-urgent-flood, endpoint-loss, organisation-flood, "
+      "busy-day or tight-memory")("deployment", po::value(&options.deployment), "mill or saddle")(
       "strategy", po::value(&options.strategy), "only this strategy");
   try {
     po::variables_map values;
