--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <random>
 #include <span>
-#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -19,11 +18,9 @@
 
 namespace acaciaspring {
 
-/// @brief Identifies a prompt prefix: the history of a program, or text that programs share.
+/// @brief Identifies a cached prompt prefix: the history of a program.
 using PrefixId = StrongNumber<struct PrefixIdTag>;
 PrefixId PrefixOfProgram(const ProgramId& program);
-/// @brief Prefix that programs of one organisation share, such as a system prompt or a manual.
-PrefixId PrefixOfText(const OrganisationId& organisation, std::string_view text);
 
 /// @brief One endpoint's cached part of a prefix.
 struct CacheHolder {
@@ -149,11 +146,6 @@
   MonotonicTime sampled_at;
 };
 
-struct SharedPrefix {
-  PrefixId prefix;
-  TokenCount tokens;
-};
-
 /// @brief One call to place.
 struct RoutingRequest {
   ServiceId service;
@@ -163,7 +155,6 @@
   std::uint32_t rank = 0;
   /// History of the program; none for plain services.
   std::optional<PrefixId> program_prefix{};
-  std::optional<SharedPrefix> shared_prefix{};
   TokenCount prompt{};
   TokenCount expected_output{};
   /// Expected service time of a call to a plain service.
@@ -174,8 +165,8 @@
 
 struct EndpointChooserOptions {
   std::size_t random_candidates = 2;
-  /// Holders of a shared prefix that are considered, chosen at random.
-  std::size_t shared_holders = 2;
+  /// Delay of the calls that already run, per prefill time of a new call, that counts as its cost.
+  double prefill_interference = 1;
   Duration zone_penalty = std::chrono::milliseconds(2);
   /// Weight of a new sample in the mean service time of an endpoint.
   double service_time_weight = 0.05;
@@ -252,7 +243,6 @@
     std::optional<MonotonicTime> first_token;
     Duration prefill{};
     std::optional<PrefixId> program_prefix;
-    std::optional<SharedPrefix> shared_prefix;
   };
   struct Candidate {
     std::uint32_t endpoint = 0;
@@ -263,7 +253,7 @@
   void List(std::uint32_t endpoint);
   void RecordCount(State& state, MonotonicTime now);
   void AddCandidate(const RoutingRequest& request, std::uint32_t endpoint, double cached);
-  void AddHolders(const RoutingRequest& request, MonotonicTime now, std::mt19937_64& random);
+  void AddHolders(const RoutingRequest& request, MonotonicTime now);
   void AddRandom(const RoutingRequest& request,
                  const std::vector<std::uint32_t>& serving,
                  std::mt19937_64& random);
--- a/src/bench/simulation.h
+++ b/src/bench/simulation.h
@@ -23,7 +23,7 @@
   bool admission = true;
   bool preemption = true;
   bool cache_index = true;
-  bool shared_prefix = true;
+  bool prefill_interference = true;
   bool correct_reports = true;
   bool random_candidates = true;
   bool pause_policy = true;
--- a/src/bench/strategies.cc
+++ b/src/bench/strategies.cc
@@ -35,7 +35,7 @@
   without("admission", &Strategy::admission);
   without("preemption", &Strategy::preemption);
   without("cache-index", &Strategy::cache_index);
-  without("shared-prefix", &Strategy::shared_prefix);
+  without("prefill-interference", &Strategy::prefill_interference);
   without("report-correction", &Strategy::correct_reports);
   without("random-candidates", &Strategy::random_candidates);
   without("class-aware-placement", &Strategy::class_aware_placement);
--- a/src/routing/cache_index.cc
+++ b/src/routing/cache_index.cc
@@ -9,11 +9,6 @@
   return PrefixId(Hash64(program.value(), kSeed));
 }
 
-PrefixId PrefixOfText(const OrganisationId& organisation, std::string_view text) {
-  // The organisation seeds the hash, so equal texts of two organisations are told apart.
-  return PrefixId(Hash64(text, Hash64(organisation.value())));
-}
-
 CacheIndex::CacheIndex(CacheIndexOptions options) : options_(options), cursor_(recency_.end()) {
   prefixes_.reserve(std::min<std::size_t>(options_.capacity, 4096));
 }
--- a/src/routing/endpoint_chooser.cc
+++ b/src/routing/endpoint_chooser.cc
@@ -129,39 +129,23 @@
   candidates_.push_back({.endpoint = endpoint, .cached = cached});
 }
 
-void EndpointChooser::AddHolders(const RoutingRequest& request,
-                                 MonotonicTime now,
-                                 std::mt19937_64& random) {
-  const auto add = [&](const CacheHolder& holder, double limit) {
+void EndpointChooser::AddHolders(const RoutingRequest& request, MonotonicTime now) {
+  if (!request.program_prefix) {
+    return;
+  }
+  holders_.clear();
+  cache_.FindHolders(*request.program_prefix, now, holders_);
+  for (const CacheHolder& holder : holders_) {
     const auto found = index_.find(holder.endpoint);
     if (found == index_.end()) {
-      return;
+      continue;
     }
     const State& state = states_[found->second];
     if (state.leaving || state.report.leaving || !Serves(state.description, request.service)) {
-      return;
+      continue;
     }
-    const double tokens = std::min(static_cast<double>(holder.tokens.value()), limit);
+    const auto tokens = static_cast<double>(std::min(holder.tokens, request.prompt).value());
     AddCandidate(request, found->second, tokens * holder.confidence);
-  };
-  const auto prompt = static_cast<double>(request.prompt.value());
-  if (request.program_prefix) {
-    holders_.clear();
-    cache_.FindHolders(*request.program_prefix, now, holders_);
-    for (const CacheHolder& holder : holders_) {
-      add(holder, prompt);
-    }
-  }
-  if (request.shared_prefix) {
-    holders_.clear();
-    cache_.FindHolders(request.shared_prefix->prefix, now, holders_);
-    std::ranges::shuffle(holders_, random);
-    if (holders_.size() > options_.shared_holders) {
-      holders_.resize(options_.shared_holders);
-    }
-    for (const CacheHolder& holder : holders_) {
-      add(holder, std::min(prompt, static_cast<double>(request.shared_prefix->tokens.value())));
-    }
   }
 }
 
@@ -191,7 +175,7 @@
   }
   candidates_.clear();
   if (options_.use_cache_index) {
-    AddHolders(request, now, random);
+    AddHolders(request, now);
   }
   AddRandom(request, serving->second, random);
   std::optional<EndpointChoice> best;
@@ -228,13 +212,15 @@
   const double wait = ahead * state.mean_service_us / concurrency;
   double run = Microseconds(request.expected_duration);
   if (speed.prefill_tokens_per_second > 0) {
-    const double uncached = static_cast<double>(request.prompt.value()) - candidate.cached;
+    const double uncached =
+        std::max(0.0, static_cast<double>(request.prompt.value()) - candidate.cached);
+    // The prompt is computed in steps that the running streams wait for as well.
+    const double weight = 1 + options_.prefill_interference;
     const double streams = std::min(load, concurrency - 1);
     const double interval = Microseconds(speed.token_interval) +
                             streams * Microseconds(speed.token_interval_per_stream);
-    run +=
-        1e6 * (std::max(0.0, uncached) + state.pending_prefill) / speed.prefill_tokens_per_second +
-        static_cast<double>(request.expected_output.value()) * interval;
+    run += 1e6 * (weight * uncached + state.pending_prefill) / speed.prefill_tokens_per_second +
+           static_cast<double>(request.expected_output.value()) * interval;
   }
   const double zone =
       state.description.zone == request.zone ? 0 : Microseconds(options_.zone_penalty);
@@ -257,13 +243,14 @@
       request.prompt.value() - std::min(request.prompt, choice.expected_cached).value();
   const double rate = state.description.speed.prefill_tokens_per_second;
   const double prefill_us = rate > 0 ? 1e6 * static_cast<double>(uncached) / rate : 0;
-  const InFlight entry{.endpoint = found->second,
-                       .pending_prefill = static_cast<double>(uncached),
-                       .started = now,
-                       .first_token = std::nullopt,
-                       .prefill = Duration(static_cast<Duration::rep>(prefill_us)),
-                       .program_prefix = request.program_prefix,
-                       .shared_prefix = request.shared_prefix};
+  const InFlight entry{
+      .endpoint = found->second,
+      .pending_prefill = static_cast<double>(uncached),
+      .started = now,
+      .first_token = std::nullopt,
+      .prefill = Duration(static_cast<Duration::rep>(prefill_us)),
+      .program_prefix = request.program_prefix,
+  };
   if (!in_flight_.emplace(call, entry).second) {
     return;
   }
@@ -312,10 +299,6 @@
   if (entry.program_prefix) {
     cache_.OnCompletion(id, *entry.program_prefix, cached, now);
   }
-  if (entry.shared_prefix) {
-    cache_.OnCompletion(id, entry.shared_prefix->prefix,
-                        std::min(cached, entry.shared_prefix->tokens), now);
-  }
 }
 
 }  // namespace acaciaspring
