--- a/src/bench/dispatcher.cc
+++ b/src/bench/dispatcher.cc
@@ -111,8 +111,9 @@
   engine.Start(waiting->second, now);
   waiting_.erase(waiting);
   const auto paused = paused_.find(call.id);
-  running_[call.id] = {.queued = std::move(call),
-                       .pauses = paused == paused_.end() ? 0 : paused->second};
+  Running& running = running_[call.id];
+  running.pauses = paused == paused_.end() ? 0 : paused->second;
+  running.queued = std::move(call);
 }
 
 std::vector<RunningCall> Dispatcher::RunningCalls() const {
--- a/src/bench/simulation.cc
+++ b/src/bench/simulation.cc
@@ -2,17 +2,16 @@
 
 #include <algorithm>
 #include <deque>
-#include <map>
 #include <memory>
 #include <queue>
 
 #include "src/bench/dispatcher.h"
 #include "src/bench/placement.h"
+#include "src/bench/recorder.h"
 
 namespace acaciaspring::bench {
 namespace {
 
-constexpr double kPromptCost = 0.1;
 constexpr int kMaxRetries = 3;
 
 enum class EventType : std::uint8_t { kTurn, kStep, kSample, kDeliver, kLoss, kDetection };
@@ -27,26 +26,6 @@
   }
 };
 
-struct Program {
-  ProgramSpec spec;
-  std::size_t turn = 0;
-  std::size_t home = 0;
-  std::uint32_t history = 0;
-  /// Tokens of the history that some engine has computed before.
-  std::uint32_t computed = 0;
-  std::uint32_t exported = 0;
-  std::uint64_t attained = 0;
-  int retries = 0;
-  double think_s = 0;
-  bool ended = false;
-  // The call in progress.
-  std::uint64_t call = 0;
-  std::size_t engine = 0;
-  CallDescription description;
-  double enqueued_s = 0;
-  double started_s = -1;
-};
-
 /// A load sample with the cache events up to it, on its way to the homes.
 struct Report {
   std::size_t engine = 0;
@@ -58,7 +37,11 @@
 class Simulation {
  public:
   Simulation(const Deployment& deployment, const Strategy& strategy, const RunOptions& options)
-      : deployment_(deployment), strategy_(strategy), options_(options), random_(options.seed) {
+      : deployment_(deployment),
+        strategy_(strategy),
+        options_(options),
+        random_(options.seed),
+        recorder_(deployment, options_.horizon) {
     const auto engines = static_cast<std::size_t>(deployment.endpoints);
     for (std::size_t i = 0; i < engines; ++i) {
       dispatchers_.push_back(std::make_unique<Dispatcher>(deployment, strategy_, options.engine));
@@ -71,9 +54,6 @@
       outputs_.emplace_back(deployment.classes.size(), 128.0);
     }
     reported_kv_.resize(engines);
-    result_.classes.resize(deployment.classes.size());
-    result_.organisation_offered.resize(static_cast<std::size_t>(deployment.organisations));
-    result_.organisation_served.resize(static_cast<std::size_t>(deployment.organisations));
   }
 
   void Add(ProgramSpec spec) {
@@ -99,7 +79,10 @@
       now_ = event.at;
       Handle(event);
     }
-    return Finish();
+    for (const auto& dispatcher : dispatchers_) {
+      recorder_.Add(*dispatcher);
+    }
+    return recorder_.Finish(programs_, now_);
   }
 
  private:
@@ -127,22 +110,12 @@
     }
   }
 
-  bool Measured(const Program& program) const {
-    return program.spec.start_s >= options_.horizon.warm_up_s;
-  }
-  ClassResult& ResultOf(const Program& program) {
-    return result_.classes[program.spec.priority_class];
-  }
-  bool LeastUrgent(const Program& program) const {
-    return program.spec.priority_class + 1 == deployment_.classes.size();
-  }
-
   void StartTurn(std::size_t index) {
     Program& program = programs_[index];
     const Turn& turn = program.spec.turns[program.turn];
     const std::uint32_t prompt = program.history + turn.new_tokens;
     if (program.turn == 0 && program.retries == 0) {
-      Offered(program);
+      recorder_.Offered(program);
     }
     program.call = (static_cast<std::uint64_t>(index) << 20U) | (++attempts_ & 0xfffffU);
     program.description = {.call = program.call,
@@ -165,7 +138,7 @@
       return Schedule(now_ + options_.detection_s, EventType::kTurn, index);
     }
     if (const auto refusal = dispatcher.Submit(MakeSubmission(program, *placement), now_)) {
-      ResultOf(program).refusals += Measured(program) ? 1 : 0;
+      recorder_.Refused(program);
       return Retry(index, 1e-3 * refusal->retry_after_ms);
     }
     router.OnStarted(program.description, *placement, now_);
@@ -200,25 +173,11 @@
     return submission;
   }
 
-  void Offered(const Program& program) {
-    if (!Measured(program)) {
-      return;
-    }
-    double cost = 0;
-    for (const Turn& turn : program.spec.turns) {
-      cost += kPromptCost * turn.new_tokens + turn.output;
-    }
-    ResultOf(program).offered_cost += cost;
-    if (LeastUrgent(program)) {
-      result_.organisation_offered[static_cast<std::size_t>(program.spec.organisation)] += cost;
-    }
-  }
-
   void Retry(std::size_t index, double after_s) {
     Program& program = programs_[index];
     if (++program.retries > kMaxRetries) {
       program.ended = true;
-      ResultOf(program).refused_programs += Measured(program) ? 1 : 0;
+      recorder_.RefusedForGood(program);
       return;
     }
     Schedule(now_ + after_s, EventType::kTurn, index);
@@ -240,9 +199,7 @@
       Program& program = programs_[call >> 20U];
       if (program.started_s < 0) {
         program.started_s = now_;
-        if (Measured(program)) {
-          ResultOf(program).wait_s.push_back(now_ - program.enqueued_s);
-        }
+        recorder_.Started(program, now_);
       }
     }
     dispatcher.stepping = true;
@@ -274,7 +231,7 @@
     routers_[program.home].OnFinished(program.description, program.engine, whole, now_);
     double& output = outputs_[program.home][program.spec.priority_class];
     output += 0.05 * (stream.output - output);
-    CountPrefill(program, stream);
+    recorder_.Prefilled(program, stream, now_);
     const std::uint32_t uncached = stream.prompt - std::min(stream.prompt, stream.cached);
     program.attained += uncached + stream.output;
     program.history = whole;
@@ -282,8 +239,7 @@
     program.exported = 0;
     program.retries = 0;
     const Turn& turn = program.spec.turns[program.turn];
-    Served(program, kPromptCost * turn.new_tokens + turn.output,
-           kPromptCost * uncached + turn.output);
+    recorder_.Served(program, uncached, now_);
     if (++program.turn == program.spec.turns.size()) {
       return EndProgram(program);
     }
@@ -294,38 +250,9 @@
     Schedule(now_ + pause, EventType::kTurn, index);
   }
 
-  /// `cost` is that of the new tokens, `engine_cost` includes prompt tokens computed again.
-  void Served(const Program& program, double cost, double engine_cost) {
-    if (now_ > options_.horizon.warm_up_s && now_ < options_.horizon.end_of_arrivals()) {
-      ResultOf(program).engine_cost += engine_cost;
-    }
-    if (Measured(program)) {
-      ResultOf(program).served_cost += cost;
-    }
-    if (Measured(program) && LeastUrgent(program)) {
-      result_.organisation_served[static_cast<std::size_t>(program.spec.organisation)] += cost;
-    }
-  }
-
-  void CountPrefill(Program& program, const Stream& stream) {
-    const bool shared_known = !shared_computed_.insert({program.spec.shared, true}).second;
-    if (now_ < options_.horizon.warm_up_s) {
-      return;
-    }
-    const std::uint32_t known =
-        std::max(program.computed, shared_known ? program.spec.shared_tokens : 0);
-    const std::uint32_t available = std::max(stream.cached, stream.exported);
-    result_.prompt_tokens += stream.prompt;
-    result_.wasted_tokens +=
-        std::min(known, stream.prompt) - std::min({available, known, stream.prompt});
-  }
-
   void EndProgram(Program& program) {
     program.ended = true;
-    result_.ended_programs += now_ >= options_.horizon.warm_up_s ? 1 : 0;
-    if (Measured(program)) {
-      ResultOf(program).latency_s.push_back(now_ - program.spec.start_s - program.think_s);
-    }
+    recorder_.Ended(program, now_);
     if (closed_) {
       ProgramSpec spec = DrawProgram(deployment_, 0, programs_.size(), random_);
       spec.start_s = now_;
@@ -414,28 +341,6 @@
     }
   }
 
-  RunResult Finish() {
-    for (const Program& program : programs_) {
-      if (!Measured(program) || program.spec.start_s > options_.horizon.end_of_arrivals()) {
-        continue;
-      }
-      ClassResult& result = ResultOf(program);
-      ++result.programs;
-      if (!program.ended) {
-        // A program that is still in progress counts with the time it has taken so far.
-        ++result.unfinished;
-        result.latency_s.push_back(now_ - program.spec.start_s - program.think_s);
-      }
-    }
-    for (const auto& dispatcher : dispatchers_) {
-      result_.pauses += dispatcher->pauses();
-      for (std::size_t c = 0; c < result_.classes.size(); ++c) {
-        result_.classes[c].refused_in_time += dispatcher->refused_in_time()[c];
-      }
-    }
-    return std::move(result_);
-  }
-
   const Deployment& deployment_;
   const Strategy strategy_;
   const RunOptions options_;
@@ -452,8 +357,7 @@
   std::deque<Program> programs_;
   std::deque<Report> reports_;
   std::vector<std::uint64_t> reported_kv_;
-  std::map<PrefixId, bool> shared_computed_;
-  RunResult result_;
+  Recorder recorder_;
 };
 
 }  // namespace
--- a/src/main/decision_bench.cc
+++ b/src/main/decision_bench.cc
@@ -132,6 +132,34 @@
 }
 BENCHMARK(Admit)->Arg(100)->Arg(1000)->Arg(3000)->Arg(10'000)->Complexity();
 
+// The longest walk of an admission: one organisation with small calls and a target that is reached
+// only after thousands of them.
+void AdmitBehindOneOrganisation(benchmark::State& state) {
+  std::mt19937_64 random(1);
+  const auto calls = static_cast<std::uint64_t>(state.range(0));
+  EndpointQueueOptions options;
+  options.classes = {{.id = PriorityClassId("urgent"), .rank = 0}};
+  EndpointQueue queue(options);
+  QueuedCall call = DrawCall(0, random);
+  call.priority_class = options.classes[0].id;
+  call.expected_prompt = TokenCount(0);
+  call.expected_output = TokenCount(1);
+  for (std::uint64_t i = 1; i < calls; ++i) {
+    call.id = QueuedCallId(i);
+    queue.Push(call);
+  }
+  call.id = QueuedCallId(calls);
+  Admission admission;
+  const EndpointOccupancy endpoint{
+      .running = 16, .concurrency = 16, .cost_per_second = 1000, .mean_call_cost = 500};
+  for ([[maybe_unused]] auto unused : state) {
+    auto decision = admission.Decide(queue, call, endpoint, At(1));
+    benchmark::DoNotOptimize(decision);
+  }
+  state.SetComplexityN(state.range(0));
+}
+BENCHMARK(AdmitBehindOneOrganisation)->Arg(100)->Arg(1000)->Arg(10'000)->Complexity();
+
 void ChoosePausedStream(benchmark::State& state) {
   std::mt19937_64 random(1);
   EndpointQueue queue = FilledQueue(1000, random);
