--- a/src/scheduling/endpoint_queue.cc
+++ b/src/scheduling/endpoint_queue.cc
@@ -26,6 +26,10 @@
   }
 }
 
+// Calls of an organisation that a prediction visits; behind that many the whole queue of the
+// organisation counts. Visiting 4,800 small calls took 36 us, more than a decision may take.
+constexpr std::size_t kMaxCounted = 512;
+
 double Seconds(MonotonicTime time) {
   return std::chrono::duration<double>(time.time_since_epoch()).count();
 }
@@ -291,6 +295,7 @@
   const OrganisationId key = OrganisationKey(call);
   const double weight = Weight(key);
   double own_cost = 0;
+  std::size_t counted = 0;
   double other_weight = queue.active_weight;
   const auto organisation = queue.organisations.find(key);
   if (organisation != queue.organisations.end()) {
@@ -300,6 +305,10 @@
         break;
       }
       own_cost += queued.cost;
+      if (++counted == kMaxCounted) {
+        own_cost = organisation->second.cost;
+        break;
+      }
     }
     other_weight -= weight;
   }
--- a/src/scheduling/endpoint_queue_test.cc
+++ b/src/scheduling/endpoint_queue_test.cc
@@ -267,6 +267,22 @@
   BOOST_TEST(queue.Ahead(other, 1e9).own_class == 200);
 }
 
+// Guards against a prediction whose time grows with the queue of one organisation.
+BOOST_AUTO_TEST_CASE(counts_a_long_queue_as_a_whole) {
+  EndpointQueue queue(Options());
+  for (std::uint64_t id = 1; id <= 2000; ++id) {
+    QueuedCall call = Call(id, kNormal, 1);
+    call.attained_service = TokenCount(id);
+    queue.Push(call);
+  }
+  QueuedCall early = Call(3000, kNormal);
+  early.attained_service = TokenCount(500);
+  BOOST_TEST(queue.Ahead(early, 1e9).own_class == 500);
+  QueuedCall late = Call(3001, kNormal);
+  late.attained_service = TokenCount(1000);
+  BOOST_TEST(queue.Ahead(late, 1e9).own_class == 2000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
