--- a/include/acaciaspring/program.h
+++ b/include/acaciaspring/program.h
@@ -61,6 +61,9 @@
   /// Hash64 of the answer up to the end of the text.
   std::uint64_t hash = 0;
 };
+/// @brief Body of a finished model call: why the answer ends there.
+inline constexpr const char* kFinishStop = "stop";
+inline constexpr const char* kFinishLength = "length";
 struct SendFinished {
   Subscriber to;
   Outcome outcome;
--- a/src/daemon/relayed_call.cc
+++ b/src/daemon/relayed_call.cc
@@ -254,7 +254,7 @@
   if (std::holds_alternative<Completed>(finished.outcome)) {
     Json::Value chunk = MakeChunk(call->request);
     chunk["choices"][0]["delta"] = Json::objectValue;
-    chunk["choices"][0]["finish_reason"] = "stop";
+    chunk["choices"][0]["finish_reason"] = finished.body;
     chunk["usage"]["prompt_tokens"] = Json::UInt64(finished.usage.prompt.value());
     chunk["usage"]["completion_tokens"] = Json::UInt64(finished.usage.completion.value());
     chunk["usage"]["cached_tokens"] = Json::UInt64(finished.usage.cached.value());
--- a/src/program/delivery.cc
+++ b/src/program/delivery.cc
@@ -137,7 +137,9 @@
     }
     Listener listener{from, request.resume};
     if (DeliverTo(listener, turn->answer)) {
-      actions_.push_back(SendFinished{from, Completed{}, "", turn->usage});
+      const bool cut = turn->usage.completion >= call->max_tokens;
+      actions_.push_back(
+          SendFinished{from, Completed{}, cut ? kFinishLength : kFinishStop, turn->usage});
     }
     return true;
   }
--- a/src/program/model_call.cc
+++ b/src/program/model_call.cc
@@ -126,6 +126,7 @@
   const journal::Program& program = *state_.FindProgram(entry->first);
   running.outcome = Completed{};
   running.usage = usage;
+  running.body = usage.completion >= running.output_cap ? kFinishLength : kFinishStop;
   journal::TurnCommitted record;
   record.program = entry->first;
   record.epoch = running.epoch;
