Enforce the limits of organisations across daemons

Entries spend grants that the limiter of the organisation gives (rendezvous hash); a call waits at most 200 ms for a grant. Reads and ends of programs are not limited.

--- a/include/acaciaspring/wire.h
+++ b/include/acaciaspring/wire.h
@@ -390,6 +390,33 @@
   }
 };
 
+/// @brief From an entry to the limiter of an organisation: asks for the next grant.
+struct LimitRequest {
+  OrganisationId organisation;
+  DaemonId holder;
+  std::uint64_t sequence = 0;
+  std::uint32_t wanted_calls = 0;
+  std::uint32_t wanted_concurrency = 0;
+  std::uint32_t running = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(organisation, holder, sequence, wanted_calls, wanted_concurrency, running);
+  }
+};
+
+struct LimitGranted {
+  OrganisationId organisation;
+  std::uint64_t sequence = 0;
+  std::uint32_t calls = 0;
+  std::uint32_t concurrency = 0;
+  std::uint32_t valid_for_ms = 0;
+  std::uint32_t retry_after_ms = 0;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(organisation, sequence, calls, concurrency, valid_for_ms, retry_after_ms);
+  }
+};
+
 struct StatusRequest {
   ExchangeId exchange;
   template <class Archive>
@@ -429,6 +456,8 @@
                              DispatchFinished,
                              DispatchCancelled,
                              EndpointReport,
+                             LimitRequest,
+                             LimitGranted,
                              StatusRequest,
                              StatusReply>;
 
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -9,6 +9,7 @@
 #include "src/daemon/dispatcher.h"
 #include "src/daemon/entry_server.h"
 #include "src/daemon/home_runner.h"
+#include "src/daemon/organisation_limits.h"
 #include "src/daemon/relayed_call.h"
 
 namespace acaciaspring::daemon {
@@ -86,7 +87,8 @@
         cluster_(MakeContext(), MakeClusterHandlers()),
         home_(MakeContext(), cluster_),
         dispatcher_(MakeContext(), cluster_),
-        relay_(MakeContext(), cluster_),
+        limits_(MakeContext(), cluster_),
+        relay_(MakeContext(), cluster_, limits_),
         admin_(MakeContext(),
                cluster_,
                {.local_status = [this] { return LocalStatus(); }, .drain = [this] { Drain(); }}),
@@ -163,6 +165,8 @@
             },
             [&](const wire::DispatchCancelled& value) { dispatcher_.OnCancelled(channel, value); },
             [&](const wire::EndpointReport& value) { home_.OnEndpointReport(value); },
+            [&](const wire::LimitRequest& value) { limits_.OnRequest(channel, value); },
+            [&](const wire::LimitGranted& value) { limits_.OnGranted(value); },
             [&](const wire::StatusRequest& value) { admin_.OnStatusRequest(channel, value); },
             [&](const wire::StatusReply& value) { admin_.OnStatusReply(value); },
         },
@@ -190,14 +194,16 @@
     }
     home_.Tick();
     dispatcher_.Tick();
+    limits_.Tick();
   }
 
   // A daemon serves nothing before it has read the log to its end and found a configuration there.
   void ApplyConfiguration() {
     const journal::State& state = journal_.state();
-    if (!journal_.caught_up() || state.revision() == revision_) {
+    if (!journal_.caught_up() || state.revision() == seen_revision_) {
       return;
     }
+    seen_revision_ = state.revision();
     try {
       document_ = config::ParseDocument(state.document());
     } catch (const config::ConfigError& error) {
@@ -205,12 +211,12 @@
                  << " cannot be parsed and is not in force: " << error.what();
       return;
     }
-    revision_ = state.revision();
-    LOG(INFO) << "configuration revision " << revision_ << " is in force";
+    LOG(INFO) << "configuration revision " << seen_revision_ << " is in force";
     home_.OnConfiguration();
     dispatcher_.OnConfiguration();
+    limits_.OnConfiguration();
     entry_.OnConfiguration();
-    cluster_.SetRevision(revision_);
+    cluster_.SetRevision(seen_revision_);
     cluster_.SetReady(true);
     entry_.SetReady(!cluster_.leaving());
   }
@@ -286,7 +292,8 @@
   Incarnation incarnation_;
   std::mt19937_64 random_;
   config::Document document_;
-  Revision revision_;
+  /// Last revision that was put in force or could not be parsed.
+  Revision seen_revision_;
   telemetry::Registry metrics_;
   net::HttpClient http_;
   journal::Journal journal_;
@@ -295,6 +302,7 @@
   Cluster cluster_;
   HomeRunner home_;
   Dispatcher dispatcher_;
+  OrganisationLimits limits_;
   CallRelay relay_;
   AdminApi admin_;
   EntryServer entry_;
--- a/src/daemon/relayed_call.cc
+++ b/src/daemon/relayed_call.cc
@@ -17,6 +17,9 @@
 constexpr Duration kOwnerRetryDelay = std::chrono::milliseconds(20);
 // Time that the home gets beyond the deadline to report the end of a call.
 constexpr Duration kHomeGrace = std::chrono::seconds(3);
+// A call waits this long for a grant of its organisation's limits before it is refused.
+constexpr Duration kLongestGrantWait = std::chrono::milliseconds(200);
+constexpr Duration kGrantRetryDelay = std::chrono::milliseconds(1);
 
 std::string_view OperationName(const wire::Operation& operation) {
   return std::visit(Overloaded{
@@ -72,13 +75,15 @@
   /// The daemon that was asked last.
   DaemonId home;
   ChannelId channel;
+  /// Counts towards the limits of its organisation.
+  bool counted = false;
   bool streaming = false;
   bool first_text = true;
   net::Timer timer;
 };
 
-CallRelay::CallRelay(Context context, const Cluster& cluster)
-    : context_(context), cluster_(cluster) {}
+CallRelay::CallRelay(Context context, const Cluster& cluster, OrganisationLimits& limits)
+    : context_(context), cluster_(cluster), limits_(limits) {}
 
 void CallRelay::Start(wire::CallRequest request, net::HttpResponderPtr responder) {
   auto call = std::make_shared<RelayedCall>();
@@ -98,8 +103,34 @@
     context_.peers.Send(gone->channel, wire::CallCancelled{gone->request.exchange});
     calls_.erase(gone->request.exchange);
     gone->timer.Cancel();
+    if (std::exchange(gone->counted, false)) {
+      limits_.End(gone->request.organisation);
+    }
+  });
+  Admit(call);
+}
+
+// Reads and ends of programs cost the endpoints nothing and are not limited.
+void CallRelay::Admit(const CallPtr& call) {
+  const bool limited = std::holds_alternative<wire::ModelCall>(call->request.operation) ||
+                       std::holds_alternative<wire::ToolCall>(call->request.operation);
+  if (!limited) {
+    return Send(call);
+  }
+  const auto refused = limits_.TryStart(call->request.organisation);
+  if (!refused.has_value()) {
+    call->counted = true;
+    return Send(call);
+  }
+  if (context_.loop.Now() - call->started >= kLongestGrantWait) {
+    return FinishWith(call, *refused);
+  }
+  // The first call of an organisation at this entry waits for the first grant.
+  call->timer = context_.loop.After(kGrantRetryDelay, [this, call] {
+    if (!call->responder->closed()) {
+      Admit(call);
+    }
   });
-  Send(call);
 }
 
 void CallRelay::Send(const CallPtr& call) {
@@ -225,6 +256,9 @@
 void CallRelay::Finish(const CallPtr& call, const wire::CallFinished& finished) {
   calls_.erase(call->request.exchange);
   call->timer.Cancel();
+  if (std::exchange(call->counted, false)) {
+    limits_.End(call->request.organisation);
+  }
   const std::string operation(OperationName(call->request.operation));
   context_.metrics
       .GetCounter("acaciaspring_calls", "Calls by operation and outcome",
--- a/src/daemon/relayed_call.h
+++ b/src/daemon/relayed_call.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "src/daemon/cluster.h"
+#include "src/daemon/organisation_limits.h"
 
 namespace acaciaspring::daemon {
 
@@ -17,7 +18,7 @@
 /// has reached, until its deadline.
 class CallRelay {
  public:
-  CallRelay(Context context, const Cluster& cluster);
+  CallRelay(Context context, const Cluster& cluster, OrganisationLimits& limits);
 
   /// @brief Sends a call to its home; the answer goes to `responder`. Model calls are answered as
   /// an event stream.
@@ -37,6 +38,8 @@
   struct RelayedCall;
   using CallPtr = std::shared_ptr<RelayedCall>;
 
+  /// @brief Starts the call when the limits of its organisation allow it.
+  void Admit(const CallPtr& call);
   void Send(const CallPtr& call);
   void RetryLater(const CallPtr& call, Duration delay);
   void Finish(const CallPtr& call, const wire::CallFinished& finished);
@@ -46,6 +49,7 @@
 
   Context context_;
   const Cluster& cluster_;
+  OrganisationLimits& limits_;
   ExchangeId last_exchange_;
   std::unordered_map<ExchangeId, CallPtr> calls_;
 };
