Test that creations that lag too far are outdated

Cause: the memory of touched unknown programs is bounded by an observation horizon that had no test. Change: one case.

--- a/src/journal/state_test.cc
+++ b/src/journal/state_test.cc
@@ -290,6 +290,18 @@
       IsRejected(log.AppendSeen("d1", log.head() + Offset(1), Spend(1)), RejectReason::kInvalid));
 }
 
+// What is remembered about unknown programs is bounded, so a creation must not lag without bound.
+BOOST_AUTO_TEST_CASE(creations_that_lag_too_far_are_outdated) {
+  BOOST_TEST_REQUIRE(IsAccepted(log.Claim("d1", IdOf("q"))));
+  const Offset seen = log.head();
+  const ProgramCreated creation = Creation(log, "q");
+  for (int entry = 0; entry < 10'000; ++entry) {
+    log.Append("d2", ConfigCheckpoint{});
+  }
+  BOOST_TEST(IsRejected(log.AppendSeen("d1", seen, creation), RejectReason::kOutdated));
+  BOOST_TEST(IsAccepted(log.Append("d1", creation)));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_entries_are_counted_and_passed) {
   State state;
   state.ApplyMalformed(Offset(1), WallTime());
