--- a/src/bench/dispatcher.cc
+++ b/src/bench/dispatcher.cc
@@ -45,11 +45,18 @@
           .pausable = preempts ? CountPausable(queue_, priority_class, RunningCalls()) : 0};
 }
 
-RankCounts Dispatcher::WaitingByRank() const {
+RankCounts Dispatcher::YieldingByRank() const {
   RankCounts counts{};
   for (const auto& [key, count] : queued_) {
     counts[key.first] += static_cast<std::uint32_t>(count);
   }
+  if (strategy_.preemption) {
+    for (const RunningCall& call : RunningCalls()) {
+      const bool yields =
+          call.resumable && !call.on_minimum_share && call.pauses < PreemptionOptions().max_pauses;
+      counts[Rank(call.priority_class)] += yields ? 1 : 0;
+    }
+  }
   return counts;
 }
 
@@ -104,8 +111,9 @@
   engine.Start(waiting->second, now);
   waiting_.erase(waiting);
   const auto paused = paused_.find(call.id);
-  running_[call.id] = {.queued = std::move(call),
-                       .pauses = paused == paused_.end() ? 0 : paused->second};
+  Running& running = running_[call.id];
+  running.pauses = paused == paused_.end() ? 0 : paused->second;
+  running.queued = std::move(call);
 }
 
 std::vector<RunningCall> Dispatcher::RunningCalls() const {
--- a/src/bench/engine.cc
+++ b/src/bench/engine.cc
@@ -1,6 +1,7 @@
 #include "src/bench/engine.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acaciaspring::bench {
 
@@ -138,7 +139,11 @@
     if (stream.prefill_left <= 0 && !items_.contains(stream.shared)) {
       // The prompt's shared part becomes an entry of its own for other programs.
       Store(stream.shared, stream.shared_tokens, stream.shared_tokens, now);
-      items_.at(stream.shared).pins = 1;
+      const auto shared = items_.find(stream.shared);
+      if (shared == items_.end()) {
+        continue;  // There was no room for it.
+      }
+      shared->second.pins = 1;
       stream.pinned = true;
       stream.private_tokens -= stream.shared_tokens;
       stream_tokens_ -= stream.shared_tokens;
@@ -170,12 +175,15 @@
   const auto found = std::ranges::find(streams_, call, &Stream::call);
   Stream stream = *found;
   streams_.erase(found);
-  const std::uint32_t whole = stream.prompt + stream.generated;
+  const auto computed =
+      stream.prompt + stream.generated - static_cast<std::uint32_t>(std::ceil(stream.prefill_left));
   stream_tokens_ -= stream.private_tokens;
   Unpin(stream);
-  // Without the shared part in front of it the program's part could not be found again.
-  if (stream.prefill_left <= 0 && items_.contains(stream.shared)) {
-    Store(stream.program, whole - std::min(whole, stream.shared_tokens), whole, now);
+  if (computed >= stream.shared_tokens && !items_.contains(stream.shared)) {
+    Store(stream.shared, stream.shared_tokens, stream.shared_tokens, now);
+  }
+  if (computed > stream.shared_tokens) {
+    Store(stream.program, computed - stream.shared_tokens, computed, now);
   }
   stream.started = false;
   return stream;
--- a/src/bench/simulation.h
+++ b/src/bench/simulation.h
@@ -19,11 +19,11 @@
   bool order_by_class = true;
   bool minimum_shares = true;
   bool fair_organisations = true;
-  bool least_attained_service = true;
+  bool least_attained_service = false;
   bool admission = true;
   bool preemption = true;
   bool cache_index = true;
-  bool shared_prefix = true;
+  bool prefill_interference = true;
   bool correct_reports = true;
   bool random_candidates = true;
   bool pause_policy = true;
@@ -63,6 +63,7 @@
 };
 
 struct RunOptions {
+  EngineOptions engine;
   Workload workload = Workload::kNormal;
   Horizon horizon;
   std::uint64_t seed = 1;
@@ -79,9 +80,10 @@
                    const std::vector<ProgramSpec>& programs,
                    const RunOptions& options);
 
-/// @brief Programs per second that least-loaded routing completes at saturation if it serves only
-/// the class; pauses are left out, so that a fixed number of programs saturates the engines.
+/// @brief Programs per second that the strategy completes at saturation if the deployment serves
+/// only the class; pauses are left out, so that a fixed number of programs saturates the engines.
 double MeasureCapacity(const Deployment& deployment,
+                       const Strategy& strategy,
                        std::size_t priority_class,
                        std::uint64_t seed);
 
--- a/src/membership/receiving.cc
+++ b/src/membership/receiving.cc
@@ -8,26 +8,20 @@
 namespace {
 
 constexpr std::size_t kForwardFanout = 2;
-// Bounds what members that have just started can make a seed send. This is not left to the budget,
-// which a seed needs for its answers when all daemons start at once.
+// Answers to syncs in one period. The minimum is granted without budget, because a seed uses that
+// up for its acknowledgements when all daemons start at once.
 constexpr std::size_t kMaxSyncAnswers = 2;
+constexpr std::size_t kMinSyncAnswers = 1;
 constexpr std::size_t kMaxRelays = 64;
 // More than fit into one datagram.
 constexpr std::size_t kMaxSyncUpdates = 40;
 constexpr int kQuietPeriods = 10;
 
-NewsKind NewsKindOf(const Update& update) {
-  return update.Is(UpdateKind::kStatus) ? NewsKind::kRevision : NewsKind::kLiveness;
-}
-
-/// @brief True if the update states what the table already holds.
+/// @brief True if the update states the liveness that the table already holds.
 bool IsCurrent(const Update& update, const Entry& entry) {
   if (update.incarnation != entry.member.incarnation) {
     return false;
   }
-  if (update.Is(UpdateKind::kStatus)) {
-    return update.status.version == entry.status.version;
-  }
   const bool same = (update.Is(UpdateKind::kAlive) && entry.liveness == Liveness::kAlive) ||
                     (update.Is(UpdateKind::kSuspect) && entry.liveness == Liveness::kSuspect) ||
                     (update.Is(UpdateKind::kDead) && entry.liveness == Liveness::kDead);
@@ -55,7 +49,7 @@
     TakeUpdate(update, introduction, now, out);
   }
   if (sync) {
-    learning = table.entries().size() > known_before;
+    learning = learning && table.entries().size() > known_before;
   }
   TakeSenderState(*envelope, now, out);
   const Entry* sender = table.Find(envelope->sender);
@@ -122,9 +116,9 @@
   const bool was_known = table.Find(update.id) != nullptr;
   Change change = table.Apply(update, now);
   const Entry* entry = table.Find(update.id);
-  if (entry != nullptr && !change.liveness && !change.flags && !change.revision &&
-      IsCurrent(update, *entry)) {
-    gossip.Heard(update.id, NewsKindOf(update), table.living_peers() + 1);
+  if (entry != nullptr && !update.Is(UpdateKind::kStatus) && !change.liveness && !change.flags &&
+      !change.revision && IsCurrent(update, *entry)) {
+    gossip.Heard(update.id, NewsKind::kLiveness, table.living_peers() + 1);
   }
   if (!was_known && introduction && change.joined) {
     // A daemon that has just started learns about everybody; the others know each other already.
@@ -204,14 +198,20 @@
                               Datagrams& out) {
   const bool exchange =
       std::holds_alternative<Probe>(envelope.body) || std::holds_alternative<Ack>(envelope.body);
-  if (!exchange || envelope.digest == table.digest()) {
+  if (!exchange) {
+    return;
+  }
+  if (envelope.digest == table.digest()) {
+    learning = false;
     return;
   }
-  // News that is still spreading explains a difference, so it is worth a sync only after a while. A
-  // daemon that has just started and still learns of new members goes on at once.
-  const bool wait = gossip.HasDigestNews() && !learning;
-  if (now < next_sync || budget < 0 ||
-      (wait && now < last_sync + options.probe_period * kQuietPeriods)) {
+  // News that is still spreading explains a difference, and a sender that knows fewer members has
+  // probably just started and has little to tell: both are worth a sync only after a while. A
+  // daemon that has just started itself goes on as long as it learns of new members, whatever the
+  // budget.
+  const bool wait = gossip.HasDigestNews() || envelope.living < table.living_peers() + 1;
+  const bool quiet = now >= last_sync + options.probe_period * kQuietPeriods;
+  if (now < next_sync || (!learning && (budget < 0 || (wait && !quiet)))) {
     return;
   }
   next_sync = now + options.probe_period;
@@ -226,7 +226,7 @@
 void Members::Impl::AnswerSync(const SyncRequest& request,
                                const net::Address& from,
                                Datagrams& out) {
-  if (sync_answers >= kMaxSyncAnswers) {
+  if (sync_answers >= (budget < 0 ? kMinSyncAnswers : kMaxSyncAnswers)) {
     return;
   }
   ++sync_answers;
--- a/src/scheduling/endpoint_queue_test.cc
+++ b/src/scheduling/endpoint_queue_test.cc
@@ -23,6 +23,7 @@
   options.classes = {{.id = kBatch, .rank = 2, .minimum_share = 0.1},
                      {.id = kUrgent, .rank = 0},
                      {.id = kNormal, .rank = 1, .minimum_share = 0.2}};
+  options.least_attained_service = true;
   return options;
 }
 
@@ -95,6 +96,21 @@
   BOOST_TEST(holds);
 }
 
+// Guards against claims that arise from calls that use less than expected or are paused.
+BOOST_AUTO_TEST_CASE(unused_output_of_calls_served_by_rank_gives_no_claims) {
+  EndpointQueue queue(Options());
+  for (std::uint64_t id = 1; id <= 50; ++id) {
+    queue.Push(Call(id, kBatch, 1000));
+    const auto call = queue.Pop(At(0));
+    BOOST_REQUIRE(call.has_value());
+    queue.OnServed(*call, TokenCount(0), TokenCount(1));
+  }
+  queue.Push(Call(100, kBatch));
+  queue.Push(Call(101, kUrgent));
+  BOOST_TEST(!queue.BelowMinimumShare(kBatch));
+  BOOST_TEST(PopId(queue) == 101U);
+}
+
 // Guards against an organisation that gets more than its weight by sending more or larger calls.
 BOOST_AUTO_TEST_CASE(serves_backlogged_organisations_by_weight) {
   const bool holds = rc::check("deficit round robin", [] {
@@ -252,6 +268,22 @@
   BOOST_TEST(queue.Ahead(other, 1e9).own_class == 200);
 }
 
+// Guards against a prediction whose time grows with the queue of one organisation.
+BOOST_AUTO_TEST_CASE(counts_a_long_queue_as_a_whole) {
+  EndpointQueue queue(Options());
+  for (std::uint64_t id = 1; id <= 2000; ++id) {
+    QueuedCall call = Call(id, kNormal, 1);
+    call.attained_service = TokenCount(id);
+    queue.Push(call);
+  }
+  QueuedCall early = Call(3000, kNormal);
+  early.attained_service = TokenCount(500);
+  BOOST_TEST(queue.Ahead(early, 1e9).own_class == 500);
+  QueuedCall late = Call(3001, kNormal);
+  late.attained_service = TokenCount(1000);
+  BOOST_TEST(queue.Ahead(late, 1e9).own_class == 2000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
