--- a/src/daemon/home_runner.cc
+++ b/src/daemon/home_runner.cc
@@ -162,6 +162,7 @@
 
 void HomeRunner::Tick() {
   home_.SetLogAvailable(context_.journal.available());
+  AppendWaiting();
   Execute(home_.Tick(context_.loop.Now()));
 }
 
@@ -172,17 +173,30 @@
 }
 
 void HomeRunner::Execute(program::AppendRecord action) {
-  const program::Ticket ticket = action.ticket;
-  const auto result = context_.journal.Append(
-      std::move(action.record), [this, ticket](const journal::Verdict& verdict) {
-        Execute(home_.OnVerdict(context_.loop.Now(), ticket, verdict));
+  waiting_appends_.push_back(std::move(action));
+  AppendWaiting();
+}
+
+// A full journal queue delays records; giving one up would lose what a call has spent.
+void HomeRunner::AppendWaiting() {
+  while (!waiting_appends_.empty()) {
+    const program::AppendRecord& next = waiting_appends_.front();
+    const program::Ticket ticket = next.ticket;
+    const auto result =
+        context_.journal.Append(next.record, [this, ticket](const journal::Verdict& verdict) {
+          Execute(home_.OnVerdict(context_.loop.Now(), ticket, verdict));
+        });
+    if (std::holds_alternative<journal::QueueFull>(result)) {
+      return;
+    }
+    waiting_appends_.pop_front();
+    if (std::holds_alternative<journal::RecordTooLarge>(result)) {
+      LOG(ERROR) << "a record is too large for the log and was not appended";
+      context_.loop.Post([this, ticket] {
+        Execute(home_.OnVerdict(context_.loop.Now(), ticket,
+                                journal::Rejected{journal::RejectReason::kInvalid}));
       });
-  if (!std::holds_alternative<journal::RecordId>(result)) {
-    LOG(WARNING) << "the journal queue refused a record";
-    context_.loop.Post([this, ticket] {
-      Execute(home_.OnVerdict(context_.loop.Now(), ticket,
-                              journal::Rejected{journal::RejectReason::kUndecided}));
-    });
+    }
   }
 }
 
--- a/src/daemon/home_runner.h
+++ b/src/daemon/home_runner.h
@@ -2,6 +2,7 @@
 #define ACACIASPRING_SRC_DAEMON_HOME_RUNNER_H_
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
 #include <string>
@@ -53,6 +54,8 @@
   void Execute(program::SendFinished action);
   void Execute(const program::SendWrongOwner& action);
 
+  /// @brief Hands records to the journal in order until its queue is full.
+  void AppendWaiting();
   /// @brief Chooses the endpoint of a model call.
   std::optional<EndpointChoice> ChooseEngine(ExchangeId attempt,
                                              const program::DispatchOrder& order,
@@ -70,6 +73,8 @@
   EndpointChooser chooser_;
   RetryBudget retries_;
   std::unordered_map<ExchangeId, PendingDispatch> pending_;
+  /// Records that wait for room in the journal's queue; at most one for each running call.
+  std::deque<program::AppendRecord> waiting_appends_;
   std::set<EndpointId> known_endpoints_;
   /// Endpoints that failed the last attempts of a program; later attempts avoid them.
   std::unordered_map<ProgramId, std::vector<EndpointId>> avoided_;
--- a/src/program/home_impl.cc
+++ b/src/program/home_impl.cc
@@ -30,6 +30,9 @@
       return NotRunReason::kKeyConflict;
     case journal::RejectReason::kUndecided:
       return NotRunReason::kLogUnavailable;
+    case journal::RejectReason::kOutdated:
+      // The entry sends the call again, and the home decides on the newer state.
+      return NotRunReason::kOwnerUnavailable;
     default:
       return NotRunReason::kInvalidRequest;
   }
@@ -327,7 +330,12 @@
   if (running.phase == Phase::kCommitting || running.phase == Phase::kCharging) {
     return Finish(entry, Unknown{UnknownReason::kOwnerChanged}, "", {});
   }
-  Finish(entry, NotRun{ToNotRunReason(rejected.reason)}, "", {});
+  const bool changes_program = running.phase == Phase::kCreating || running.phase == Phase::kEnding;
+  if (changes_program && rejected.reason == journal::RejectReason::kUndecided) {
+    return Finish(entry, Unknown{UnknownReason::kLogUnavailable}, "", {});
+  }
+  const NotRunReason reason = ToNotRunReason(rejected.reason);
+  Finish(entry, NotRun{reason, RetryDelay(reason)}, "", {});
 }
 
 void HomeImpl::Finish(Entry entry, const Outcome& outcome, std::string body, wire::Usage usage) {
