--- a/src/bench/report.cc
+++ b/src/bench/report.cc
@@ -38,7 +38,11 @@
   double worst = HUGE_VAL;
   for (std::size_t i = 0; i < served.size(); ++i) {
     if (i != kFloodingOrganisation) {
-      worst = std::min(worst, Ratio(served[i], std::min(fair, result.organisation_offered[i])));
+      // Both sums add the same turns in another order; without this a full share may print as
+      // missed.
+      constexpr double kRounding = 1e-9;
+      const double entitled = std::min(fair, result.organisation_offered[i]);
+      worst = std::min(worst, Ratio(served[i], entitled) + kRounding);
     }
   }
   return worst;
