--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -23,7 +23,7 @@
 add_executable(fakes_test fakes/answer_test.cc fakes/cache_events_test.cc fakes/engine_batch_test.cc
   fakes/engine_orders_test.cc fakes/fake_engine_test.cc fakes/fake_log_test.cc fakes/fake_tools_test.cc
   fakes/log_stream_test.cc
-  fakes/prefix_cache_test.cc src/main/test_main.cc)
+  fakes/prefix_cache_test.cc $<TARGET_OBJECTS:test_main>)
 target_link_libraries(fakes_test PRIVATE acaciaspring_fake_service Boost::unit_test_framework)
 add_test(NAME fakes COMMAND fakes_test --log_level=test_suite)
 
@@ -37,6 +37,6 @@
   Boost::program_options)
 acaciaspring_program(acaciaspring_load SOURCES src/main/load.cc DEPENDS acaciaspring_load_tool)
 
-add_executable(load_test ${load_tests} src/main/test_main.cc)
+add_executable(load_test ${load_tests} $<TARGET_OBJECTS:test_main>)
 target_link_libraries(load_test PRIVATE acaciaspring_load_tool acaciaspring_fake_service Boost::unit_test_framework)
 add_test(NAME load COMMAND load_test --log_level=test_suite)
--- a/include/acaciaspring/base.h
+++ b/include/acaciaspring/base.h
@@ -84,7 +84,7 @@
 using Epoch = StrongNumber<struct EpochTag>;
 /// @brief Offset of the accepted configuration change; 0 for no configuration.
 using Revision = StrongNumber<struct RevisionTag>;
-/// @brief Distinguishes the runs of one daemon; grows with every start and every refutation.
+/// @brief Distinguishes the runs of one daemon; grows with every start.
 using Incarnation = StrongNumber<struct IncarnationTag>;
 using ShardId = StrongNumber<struct ShardIdTag, std::uint16_t>;
 using TokenCount = StrongNumber<struct TokenCountTag>;
--- a/include/acaciaspring/wire.h
+++ b/include/acaciaspring/wire.h
@@ -75,6 +75,12 @@
 void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive, T& value) {
   archive.Take(&value, sizeof(value));
 }
+// A byte other than 0 or 1 is not a valid bool object.
+inline void CEREAL_LOAD_FUNCTION_NAME(InputArchive& archive, bool& value) {
+  std::uint8_t byte = 0;
+  archive.Take(&byte, sizeof(byte));
+  value = byte != 0;
+}
 template <class T>
 void CEREAL_SAVE_FUNCTION_NAME(OutputArchive& archive, const cereal::SizeTag<T>& tag) {
   const auto size = static_cast<std::uint32_t>(tag.size);
--- a/src/daemon/admin_api.cc
+++ b/src/daemon/admin_api.cc
@@ -198,13 +198,18 @@
 
   auto decided = std::make_shared<bool>(false);
   auto timer = std::make_shared<net::Timer>();
-  const auto respond = [this, responder, decided, timer](int status, const std::string& result) {
+  const auto respond = [this, responder, decided, timer](int status, const std::string& result,
+                                                         const std::string& outcome) {
     if (std::exchange(*decided, true)) {
       return;
     }
     Json::Value answer;
     answer["result"] = result;
     answer["revision"] = Json::UInt64(context_.journal.state().revision().value());
+    if (!outcome.empty()) {
+      answer["error"]["code"] = result;
+      answer["error"]["outcome"] = outcome;
+    }
     RespondJson(*responder, status, ToText(answer));
     timer->Cancel();
   };
@@ -212,17 +217,17 @@
       context_.journal.Append(std::move(record), [respond](const journal::Verdict& verdict) {
         const auto* rejected = std::get_if<journal::Rejected>(&verdict);
         if (rejected == nullptr) {
-          respond(200, "accepted");
+          respond(200, "accepted", "");
         } else if (rejected->reason == journal::RejectReason::kUndecided) {
-          respond(504, "not_known");
+          respond(504, "not_known", "unknown");
         } else {
-          respond(409, "conflict");
+          respond(409, "conflict", "not_run");
         }
       });
   if (!std::holds_alternative<journal::RecordId>(result)) {
-    return respond(503, "not_run");
+    return respond(503, "queue_full", "not_run");
   }
-  *timer = context_.loop.After(kConfigTimeout, [respond] { respond(504, "not_known"); });
+  *timer = context_.loop.After(kConfigTimeout, [respond] { respond(504, "not_known", "unknown"); });
 }
 
 void AdminApi::RespondPrograms(const net::HttpRequest& request,
--- a/src/daemon/cluster.cc
+++ b/src/daemon/cluster.cc
@@ -146,6 +146,9 @@
 
 void Cluster::Tick() {
   Send(members_.Tick(context_.loop.Now()));
+  if (members_.superseded()) {
+    return handlers_.on_superseded();
+  }
   if (members_.version() != seen_version_) {
     OnMembersChanged();
   }
--- a/src/daemon/cluster.h
+++ b/src/daemon/cluster.h
@@ -19,6 +19,8 @@
   std::function<void()> on_changed;
   /// A member died, or restarted under the same id: nothing more will come from its old run.
   std::function<void(const DaemonId& daemon)> on_dead;
+  /// A later run of this daemon's id exists; this process must end.
+  std::function<void()> on_superseded;
   std::function<std::set<ShardId>()> busy_shards;
   std::function<void(ShardId shard, bool stopped)> on_stopped;
 };
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -144,6 +144,12 @@
               ownership_changed_ = true;
             },
         .on_dead = [](const DaemonId&) {},
+        .on_superseded =
+            [this] {
+              LOG(ERROR) << "a later run of daemon " << settings_.daemon
+                         << " is in the cluster; this process stops";
+              loop_.Stop();
+            },
         .busy_shards = [this] { return home_.BusyShards(); },
         .on_stopped = [this](ShardId shard, bool stopped) { home_.SetStopped(shard, stopped); },
     };
