Scale the gossip allowance with the probe period

The allowance of 1,600 bytes/s belongs to probes every second; with probes every 200 ms they use it up, and the suspicions that a death needs wait. Ruled out: the shard planner (each claim came 1.1 s after the daemon's own verdict, the settle time). Change: the allowance grows as the probe period shrinks. At the design's period of 1 s nothing changes.

--- a/src/daemon/cluster.cc
+++ b/src/daemon/cluster.cc
@@ -27,9 +27,13 @@
   for (const config::SocketAddress& seed : settings.seeds) {
     options.seeds.push_back(ToAddress(seed));
   }
+  options.suspicion_time = settings.suspect_after;
+  // The default allowance belongs to the default period. Without scaling, probes of a short period
+  // use it up, and the suspicions that a death needs wait for seconds.
+  options.max_sent_bytes_per_second *= static_cast<double>(options.probe_period.count()) /
+                                       static_cast<double>(settings.probe_period.count());
   options.probe_period = settings.probe_period;
   options.probe_timeout = settings.probe_period / 3;
-  options.suspicion_time = settings.suspect_after;
   return options;
 }
 
