--- a/cmake/process_tests.cmake
+++ b/cmake/process_tests.cmake
@@ -1,4 +1,5 @@
 # Tests that run the programs as separate processes.
 add_test(NAME bad_input COMMAND ${CMAKE_SOURCE_DIR}/tests/bad_input_test.sh)
+add_test(NAME promises COMMAND ${CMAKE_SOURCE_DIR}/tests/promises_test.sh)
 add_test(NAME drill_short COMMAND ${CMAKE_SOURCE_DIR}/scripts/drill --short --seed 1)
-set_tests_properties(bad_input drill_short PROPERTIES ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR}" RUN_SERIAL ON)
+set_tests_properties(bad_input promises drill_short PROPERTIES ENVIRONMENT "BUILD=${CMAKE_BINARY_DIR}" RUN_SERIAL ON)
--- /dev/null
+++ b/tests/promises_test.sh
@@ -0,0 +1,95 @@
+#!/usr/bin/env bash
+# Proofs on running processes: KV cache holds, a leaving endpoint, a configuration in force everywhere, and
+# a rolling restart of every daemon under load. Waits for events; the limits are those of the promises.
+set -uo pipefail
+cd "$(dirname "$0")/.."
+PORT_BASE=${PROMISES_PORT_BASE:-27000}
+source scripts/cluster.sh
+readonly CONFIG_LIMIT_S=16
+start_cluster 3 3 --decode-tokens-per-second 200 --prefill-tokens-per-second 100000 || exit 1
+
+failures=0
+passes=0
+check() {
+  if "${@:2}"; then
+    passes=$((passes + 1))
+  else
+    failures=$((failures + 1))
+    echo "FAILED $1"
+  fi
+}
+base="http://127.0.0.1:$(http_port 1)"
+auth="authorization: Bearer $ORGANISATION_KEY"
+held() {
+  local i
+  for i in 1 2 3; do
+    curl -sS "http://127.0.0.1:$(engine_port "$i")/kv/holds" | grep -q "$1" && return 0
+  done
+  return 1
+}
+not_held() { ! held "$1"; }
+
+# Engine memory: a live program may be held, an ended one may not.
+program=$(curl -sS -H "$auth" -H 'idempotency-key: hold' -d '{"class":"chat"}' "$base/v1/programs" |
+  sed -n 's/.*"program" *: *"\([0-9a-f]*\)".*/\1/p')
+curl -sS -o /dev/null -H "$auth" -H 'idempotency-key: h1' \
+  -d '{"model":"model-a","messages":[{"role":"user","content":"hello"}],"max_tokens":8}' "$base/v1/programs/$program/chat/completions"
+check "a live program keeps its hold" held "$program"
+curl -sS -o /dev/null -X DELETE -H "$auth" "$base/v1/programs/$program"
+check "the hold of an ended program is released" wait_for 10 "the release" not_held "$program"
+
+# Usage: start_load SEED PROGRAMS RATE
+start_load() {
+  "$BUILD/acaciaspring_load" --entries "$(entries_list)" --organisation-key "$ORGANISATION_KEY" --model model-a \
+    --programs "$2" --arrival-rate "$3" --concurrency 64 --seed "$1" --run-id "run$1" --turns 2..4 \
+    --classes stop-line:0.2,chat:0.4,dispatch:0.4 --tool-service manual-search --effect-service parts-order \
+    --effect-probability 0.3 --tool-pause-ms 50 --max-tokens 64 --deadline-s 40 --time-limit-s 90 >"$WORK/load$1.txt" 2>&1 &
+  load=$!
+}
+value() { sed -n "s/^$2 \([0-9]*\).*/\1/p" "$WORK/load$1.txt"; }
+engine_stat() { curl -sS "http://127.0.0.1:$(engine_port "$1")/stats" | sed -n "s/.*\"$2\" *: *\([0-9]*\).*/\1/p"; }
+engine_has_worked() { [ "$(engine_stat "$1" completed)" -gt 5 ]; }
+
+# Leaving endpoint: the engine counts requests that arrive more than 3 s after it began to leave.
+start_load 1 160 20
+wait_for 20 "work on engine 1" engine_has_worked 1
+fault "$(engine_port 1)" '{"leaving":true}'
+wait $load
+late=$(engine_stat 1 requests_after_leaving_grace)
+check "no new work for a leaving engine after 3 s" [ "${late:-0}" = 0 ]
+check "calls go on elsewhere" [ "$(value 1 programs_failed)" = 0 ]
+check "answers are whole while the engine leaves" [ "$(value 1 answers_incomplete)" = 0 ]
+fault "$(engine_port 1)" '{"leaving":false}'
+
+# Configuration: accepted on one daemon, in force on all.
+sed -i 's/"max_output_tokens": [0-9]*/"max_output_tokens": 1024/' "$WORK/config/20-limits.json"
+ctl 2 apply "$WORK/config" >"$WORK/applied"
+revision=$(sed -n 's/accepted: revision //p' "$WORK/applied")
+in_force_everywhere() {
+  [ "$(ctl 1 --json status | grep -c "\"revision\" : $revision,")" -ge 3 ] &&
+    [ "$(ctl 1 --json status | sed -n 's/^\t\t\t"revision" : \([0-9]*\).*/\1/p' | sort -u)" = "$revision" ]
+}
+check "a configuration is in force on every daemon" wait_for $CONFIG_LIMIT_S "revision $revision" in_force_everywhere
+
+# Rolling restart of every daemon under load: nothing is cut, nothing fails, the configuration stays.
+start_load 2 400 20
+for i in 1 2 3; do
+  send TERM "d$i"
+  check "daemon $i shuts down gracefully" reap "d$i"
+  start_daemon "$i" 3
+  wait_for 20 "daemon $i to be ready again" is_ready "$i"
+done
+wait $load
+check "no answer is cut by a rolling restart" [ "$(value 2 answers_cut)" = 0 ]
+check "no call is unknown after a rolling restart" [ "$(value 2 calls_unknown)$(value 2 effects_unknown)" = 00 ]
+check "no program fails in a rolling restart" [ "$(value 2 programs_failed)" = 0 ]
+check "histories survive a rolling restart" [ "$(value 2 histories_wrong)$(value 2 answers_incomplete)" = 00 ]
+check "the configuration survives the restart of all daemons" wait_for $CONFIG_LIMIT_S "revision $revision" in_force_everywhere
+check "no order runs twice" [ "$(curl -sS "http://127.0.0.1:$(tools_port)/executions" |
+  grep -o '{[^{}]*"operation":"parts-order"[^{}]*}' | grep -vc '"count":1,')" = 0 ]
+if [ $failures != 0 ]; then
+  cat "$WORK"/load?.txt
+  [ -n "${KEEP:-}" ] && cp -r "$WORK" "$KEEP"
+fi
+echo "$passes passed, $failures failed"
+[ $failures = 0 ]
