Restart daemons in the rolling restart test only while they serve calls

The test passed with the drain switched off (trial): all three restarts were over before the load had reached the daemons. It now waits for 20 calls through a daemon before it stops it.

--- a/tests/promises_test.sh
+++ b/tests/promises_test.sh
@@ -72,8 +72,18 @@
 check "a configuration is in force on every daemon" wait_for $CONFIG_LIMIT_S "revision $revision" in_force_everywhere
 
 # Rolling restart of every daemon under load: nothing is cut, nothing fails, the configuration stays.
-start_load 2 400 20
+has_served() {
+  curl -sS "http://127.0.0.1:$(http_port "$1")/metrics" |
+    awk -v served="${served[$1]:-0}" '/^acaciaspring_calls.*model_call.*completed/ {calls = $2} END {exit !(calls >= served + 20)}'
+}
+served=()
+for i in 1 2 3; do
+  served[i]=$(curl -sS "http://127.0.0.1:$(http_port "$i")/metrics" |
+    awk '/^acaciaspring_calls.*model_call.*completed/ {calls = $2} END {print calls + 0}')
+done
+start_load 2 500 20
 for i in 1 2 3; do
+  wait_for 20 "calls through daemon $i" has_served "$i"
   send TERM "d$i"
   check "daemon $i shuts down gracefully" reap "d$i"
   start_daemon "$i" 3
