Survive the removal of a priority class while its call runs

Cause: EndpointQueue::OnServed throws for a class that the configuration no longer has; the exception left the callback of the event loop and ended the daemon. Found by reading. OnServed is now called for every popped engine call, also for one that ended early, as the queue's shares require. tests/bad_input_test.sh: with the exception let through (trial) the check failed; with the change 28 passed, 0 failed.

--- a/src/daemon/endpoint_worker.cc
+++ b/src/daemon/endpoint_worker.cc
@@ -207,6 +207,19 @@
                                        });
 }
 
+// The shares count every call that was popped, also one that ended early.
+void EndpointWorker::SettleShares(const Item& item, const wire::Usage& usage) {
+  if (!is_engine()) {
+    return;
+  }
+  try {
+    const TokenCount computed = usage.prompt - std::min(usage.cached, usage.prompt);
+    queue_->OnServed(item.queued, computed, usage.completion);
+  } catch (const SchedulingError&) {
+    LOG(INFO) << "class " << item.request.priority_class << " was removed while its call ran";
+  }
+}
+
 void EndpointWorker::Finish(const ItemPtr& item,
                             const Outcome& outcome,
                             std::string body,
@@ -215,9 +228,8 @@
   const endpoint::CallPtr call = std::move(item->call);
   if (items_.erase(item->id) > 0 && item->running) {
     --running_;
+    SettleShares(*item, usage);
     if (std::holds_alternative<Completed>(outcome) && is_engine()) {
-      const TokenCount computed = usage.prompt - std::min(usage.cached, usage.prompt);
-      queue_->OnServed(item->queued, computed, usage.completion);
       const auto output = static_cast<double>(usage.completion.value());
       mean_output_ += kSampleWeight * (output - mean_output_);
       mean_cost_ += kSampleWeight * (queue_->Cost(item->queued) - mean_cost_);
--- a/src/daemon/endpoint_worker.h
+++ b/src/daemon/endpoint_worker.h
@@ -70,6 +70,7 @@
   void Run(const ItemPtr& item);
   void RunModel(const ItemPtr& item, const wire::ModelDispatch& work);
   void RunTool(const ItemPtr& item, const wire::ToolDispatch& work);
+  void SettleShares(const Item& item, const wire::Usage& usage);
   void Finish(const ItemPtr& item, const Outcome& outcome, std::string body, wire::Usage usage);
   void Refuse(const ItemPtr& item, NotRunReason reason, std::uint32_t retry_after_ms);
   void RefuseQueued(NotRunReason reason);
--- a/src/program/home_impl.h
+++ b/src/program/home_impl.h
@@ -53,13 +53,15 @@
   void Begin(Entry entry, const Operation& operation);
   void Append(RunningCall& running, Phase phase, journal::Record record);
   void Dispatch(Entry entry);
-  void OnAccepted(Entry entry);
-  void OnRejected(Entry entry, const journal::Rejected& rejected);
   void Finish(Entry entry, const Outcome& outcome, std::string body, wire::Usage usage);
   void Drop(Entry entry);
   void TickRunning(Entry entry);
   bool CanRetry(const RunningCall& running) const;
 
+  // verdicts.cc
+  void OnAccepted(Entry entry);
+  void OnRejected(Entry entry, const journal::Rejected& rejected);
+
   // model_call.cc
   void Begin(Entry entry, const wire::ModelCall& operation);
   wire::ModelDispatch MakeDispatch(const RunningCall& running, const wire::ModelCall& call) const;
--- a/tests/bad_input_test.sh
+++ b/tests/bad_input_test.sh
@@ -93,5 +93,20 @@
 check "the daemon goes on" [ "$(curl -sS -o /dev/null -w '%{http_code}' -H "$auth" "$path")" = 200 ]
 check "a call still works" curl -sSf -o /dev/null -H "$auth" -H 'idempotency-key: h' \
   -d '{"model":"model-a","messages":[{"role":"user","content":"hello"}],"max_tokens":8}' "$path/chat/completions"
+
+# A class that is removed while its call runs must not end the dispatcher.
+fault "$(engine_port 1)" '{"delay_ms":2000}'
+curl -sS -o "$WORK/late" -H "$auth" -H 'idempotency-key: i' \
+  -d '{"model":"model-a","messages":[{"role":"user","content":"late"}],"max_tokens":8}' "$path/chat/completions" &
+late=$!
+engine_is_asked() { ctl 1 --json status | grep -q '"running" : 1'; }
+check "the call is at the engine" wait_for 10 "the call" engine_is_asked
+echo '{ "priority_classes": { "chat": null } }' >"$WORK/config/70-without-chat.json"
+ctl 1 apply "$WORK/config" >/dev/null
+wait $late
+check "the call ends" grep -q 'DONE' "$WORK/late"
+for i in 1 2 3; do
+  check "daemon $i goes on without the class" is_ready "$i"
+done
 echo "$passes passed, $failures failed"
 [ $failures = 0 ]
