--- a/src/program/documents.cc
+++ b/src/program/documents.cc
@@ -50,6 +50,12 @@
   return "{\"messages\":" + ComposePrompt(program, "[]") + "}";
 }
 
+std::string CreatedAsJson(const ProgramId& id) {
+  Json::Value out;
+  out["program"] = id.value();
+  return Write(out);
+}
+
 std::string DescribeAsJson(const ProgramId& id, const journal::Program& program) {
   Json::Value out;
   out["program"] = id.value();
--- a/src/program/home_impl.h
+++ b/src/program/home_impl.h
@@ -97,6 +97,7 @@
 };
 
 /// @brief JSON documents that callers receive.
+std::string CreatedAsJson(const ProgramId& id);
 std::string DescribeAsJson(const ProgramId& id, const journal::Program& program);
 std::string HistoryAsJson(const journal::Program& program);
 /// @brief JSON array of all messages of the program followed by `messages`.
--- a/src/program/verdicts.cc
+++ b/src/program/verdicts.cc
@@ -1,7 +1,5 @@
 // What a call does once the fold has decided on its record.
 
-#include <json/json.h>
-
 #include <utility>
 
 #include "src/program/home_impl.h"
@@ -75,11 +73,8 @@
         return Append(running, Phase::kWithdrawing, std::move(record));
       }
       return Dispatch(entry);
-    case Phase::kCreating: {
-      Json::Value body;
-      body["program"] = entry->first.value();
-      return Finish(entry, Completed{}, body.toStyledString(), {});
-    }
+    case Phase::kCreating:
+      return Finish(entry, Completed{}, CreatedAsJson(entry->first), {});
     case Phase::kEnding:
       return Finish(entry, Completed{}, "{}", {});
     case Phase::kCharging:
@@ -98,7 +93,7 @@
     case journal::RejectReason::kNotOwner:
       return Drop(entry);
     case journal::RejectReason::kProgramExists:
-      return Finish(entry, Completed{}, "{\"program\":\"" + entry->first.value() + "\"}", {});
+      return Finish(entry, Completed{}, CreatedAsJson(entry->first), {});
     case journal::RejectReason::kProgramEnded:
       if (running.phase == Phase::kEnding) {
         return Finish(entry, Completed{}, "{}", {});
