--- a/src/daemon/cluster.cc
+++ b/src/daemon/cluster.cc
@@ -1,11 +1,11 @@
 #include "src/daemon/cluster.h"
 
 #include <glog/logging.h>
-#include <json/json.h>
 
-#include <memory>
 #include <utility>
 
+#include "src/daemon/json.h"
+
 namespace acaciaspring::daemon {
 
 namespace {
@@ -133,7 +133,6 @@
 void Cluster::OnDatagram(const net::Address& from, std::string_view datagram) {
   const auto payload = wire::OpenDatagram(context_.settings.cluster_key, datagram);
   if (!payload.has_value()) {
-    ++forged_datagrams_;
     context_.metrics
         .GetCounter("acaciaspring_datagrams_dropped", "Datagrams that were not authentic")
         .Increment();
@@ -172,7 +171,6 @@
     if (now_living == living.end() || now_living->second != incarnation) {
       LOG(INFO) << "daemon " << daemon << " incarnation " << incarnation << " is dead";
       context_.peers.ClosePeer(daemon);
-      handlers_.on_dead(daemon);
     }
   }
   for (const auto& [daemon, incarnation] : living) {
@@ -256,14 +254,11 @@
     if (finished == nullptr || finished->status != 200) {
       return;
     }
-    Json::Value list;
-    Json::CharReaderBuilder builder;
-    const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-    const char* begin = reply.body.data();
-    if (!reader->parse(begin, begin + reply.body.size(), &list, nullptr) || !list.isArray()) {
+    const auto list = ParseJson(reply.body);
+    if (!list.has_value() || !list->isArray()) {
       return;
     }
-    for (const Json::Value& vm : list) {
+    for (const Json::Value& vm : *list) {
       if (!vm.isObject() || !vm["state"].isString() || !vm["address"].isString()) {
         continue;
       }
--- a/src/daemon/cluster.h
+++ b/src/daemon/cluster.h
@@ -17,8 +17,6 @@
 struct ClusterHandlers {
   /// Members, their state or the placement changed.
   std::function<void()> on_changed;
-  /// A member died, or restarted under the same id: nothing more will come from its old run.
-  std::function<void(const DaemonId& daemon)> on_dead;
   /// A later run of this daemon's id exists; this process must end.
   std::function<void()> on_superseded;
   std::function<std::set<ShardId>()> busy_shards;
@@ -65,7 +63,6 @@
   bool leaving_ = false;
   std::uint64_t seen_version_ = 0;
   std::map<DaemonId, Incarnation> living_;
-  std::uint64_t forged_datagrams_ = 0;
   net::Timer tick_timer_;
   net::Timer plan_timer_;
   net::Timer vm_list_timer_;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -147,7 +147,6 @@
               dispatcher_.OnPlacementChanged();
               ownership_changed_ = true;
             },
-        .on_dead = [](const DaemonId&) {},
         .on_superseded =
             [this] {
               LOG(ERROR) << "a later run of daemon " << settings_.daemon
--- a/src/program/home.cc
+++ b/src/program/home.cc
@@ -32,11 +32,12 @@
 }
 
 void Home::OnCallCancelled(Subscriber from) {
-  impl_->RemoveListeners(from);
+  impl_->RemoveListeners([&](const Subscriber& subscriber) { return subscriber == from; });
 }
 
 void Home::OnChannelClosed(std::uint64_t channel) {
-  impl_->RemoveChannel(channel);
+  impl_->RemoveListeners(
+      [&](const Subscriber& subscriber) { return subscriber.channel == channel; });
 }
 
 Actions Home::OnVerdict(MonotonicTime now, Ticket ticket, const journal::Verdict& verdict) {
--- a/src/program/home_impl.cc
+++ b/src/program/home_impl.cc
@@ -325,23 +325,10 @@
   }
 }
 
-void HomeImpl::RemoveListeners(const Subscriber& subscriber) {
+void HomeImpl::RemoveListeners(const std::function<bool(const Subscriber&)>& matches) {
   const auto remove = [&](Call& call) {
     std::erase_if(call.listeners,
-                  [&](const Listener& listener) { return listener.subscriber == subscriber; });
-  };
-  for (auto& [program, calls] : programs_) {
-    if (calls.running.has_value()) {
-      remove(calls.running->call);
-    }
-    std::for_each(calls.queue.begin(), calls.queue.end(), remove);
-  }
-}
-
-void HomeImpl::RemoveChannel(std::uint64_t channel) {
-  const auto remove = [&](Call& call) {
-    std::erase_if(call.listeners,
-                  [&](const Listener& listener) { return listener.subscriber.channel == channel; });
+                  [&](const Listener& listener) { return matches(listener.subscriber); });
   };
   for (auto& [program, calls] : programs_) {
     if (calls.running.has_value()) {
--- a/src/program/home_impl.h
+++ b/src/program/home_impl.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASPRING_SRC_PROGRAM_HOME_IMPL_H_
 #define ACACIASPRING_SRC_PROGRAM_HOME_IMPL_H_
 
+#include <functional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -17,8 +18,7 @@
   HomeImpl(const journal::State& state, HomeOptions options);
 
   void OnCall(const Subscriber& from, const wire::CallRequest& request);
-  void RemoveListeners(const Subscriber& subscriber);
-  void RemoveChannel(std::uint64_t channel);
+  void RemoveListeners(const std::function<bool(const Subscriber&)>& matches);
   void OnVerdict(Ticket ticket, const journal::Verdict& verdict);
   void OnDispatchEvent(ExchangeId attempt, std::uint64_t index, std::string_view text);
   void OnDispatchFinished(ExchangeId attempt,
