--- a/cmake/programs.cmake
+++ b/cmake/programs.cmake
@@ -1,4 +1,5 @@
 # Executables of the product.
 acaciaspring_program(acaciaspringd SOURCES src/main/acaciaspringd.cc DEPENDS acaciaspring_daemon)
+acaciaspring_program(acaciaspring_gatewayd SOURCES src/main/acaciaspring_gatewayd.cc DEPENDS acaciaspring_platform)
 acaciaspring_program(acaciaspringctl SOURCES src/main/acaciaspringctl.cc DEPENDS acaciaspring_ctl)
 acaciaspring_program(ticket_program SOURCES examples/ticket_program.cc DEPENDS acaciaspring_net PkgConfig::JSONCPP)
--- /dev/null
+++ b/include/acaciaspring/ledger.h
@@ -0,0 +1,318 @@
+#ifndef ACACIASPRING_LEDGER_H_
+#define ACACIASPRING_LEDGER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "acaciaspring/base.h"
+
+namespace acaciaspring::ledger {
+
+/// @brief One turn of a program; equal to the id of the request that it was sent with.
+using TurnId = StrongString<struct TurnIdTag>;
+using PartitionId = StrongNumber<struct PartitionIdTag, std::uint32_t>;
+/// @brief Position of a record in its partition; the first one is 0.
+using RecordOffset = StrongNumber<struct RecordOffsetTag>;
+/// @brief Number of an append of one owner; the first one is 0.
+using AppendSequence = StrongNumber<struct AppendSequenceTag>;
+/// @brief Grows with each change of a partition's owner.
+using OwnerEpoch = StrongNumber<struct OwnerEpochTag>;
+
+/// @brief Bytes that are not a ledger record.
+class RecordError : public Error {
+ public:
+  using Error::Error;
+};
+
+/// @brief Tokens of a program: `spent` were handed out, and no more than `ceiling` may have been
+/// when the owner is lost.
+struct ProgramSpend {
+  ProgramId program = {};
+  TokenCount spent = {};
+  TokenCount ceiling = {};
+  bool operator==(const ProgramSpend&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(program, spent, ceiling);
+  }
+};
+
+/// @brief A turn that was answered whole.
+struct Turn {
+  TurnId id = {};
+  /// Empty for the first turn of a chain.
+  TurnId parent = {};
+  std::string input = {};
+  /// Data of the events, each followed by a line feed.
+  std::string output = {};
+  WallTime recorded_at = {};
+  Duration retention = {};
+  bool operator==(const Turn&) const = default;
+  template <class Archive>
+  void save(Archive& archive) const {
+    archive(id, parent, input, output,
+            static_cast<std::int64_t>(recorded_at.time_since_epoch().count()),
+            static_cast<std::int64_t>(retention.count()));
+  }
+  template <class Archive>
+  void load(Archive& archive) {
+    std::int64_t recorded_ms = 0;
+    std::int64_t retention_us = 0;
+    archive(id, parent, input, output, recorded_ms, retention_us);
+    recorded_at = WallTime(std::chrono::milliseconds(recorded_ms));
+    retention = Duration(retention_us);
+  }
+};
+
+/// @brief A durable change of a partition's state.
+struct Record {
+  std::optional<ProgramSpend> spend = {};
+  std::optional<Turn> turn = {};
+};
+
+/// @brief Encodes a record as one or more pieces of at most `max_bytes`.
+std::vector<std::string> EncodeRecord(const Record& record, std::size_t max_bytes);
+
+/// @brief Joins the pieces of records as they are read.
+class RecordReader {
+ public:
+  /// @brief Returns the record that is complete with this piece. Throws RecordError; the next whole
+  /// record can still be read.
+  std::optional<Record> Take(std::string_view piece);
+
+ private:
+  std::string joined_;
+  std::uint32_t next_piece_ = 0;
+};
+
+/// @brief A turn that is about to run.
+struct TurnDemand {
+  ProgramId program = {};
+  TokenCount budget = {};
+  /// Most tokens that the turn generates.
+  TokenCount maximum = {};
+};
+
+/// @brief The turn may hand out tokens at once.
+struct SpendGranted {};
+/// @brief The turn may hand out tokens once `spend` is durable.
+struct SpendNeedsRecord {
+  ProgramSpend spend;
+};
+/// @brief The budget does not hold the turn.
+struct BudgetSpent {
+  TokenCount spent;
+  TokenCount in_flight;
+};
+using Admission = std::variant<SpendGranted, SpendNeedsRecord, BudgetSpent>;
+
+struct ProgramLedgerOptions {
+  /// Turns beyond the current ones that one record covers; saves an append for most turns. A lost
+  /// owner's successor counts them as spent.
+  std::uint32_t turns_ahead = 2;
+  /// Time beyond its retention for which a turn is kept, because wall clocks differ.
+  Duration retention_margin = std::chrono::seconds(12);
+  /// Time without a turn after which a program is forgotten.
+  Duration program_retention = std::chrono::seconds(180);
+};
+
+/// @brief The programs and turns of one partition, as a function of its records.
+class ProgramLedger {
+ public:
+  explicit ProgramLedger(ProgramLedgerOptions options = {}) : options_(options) {}
+
+  /// @brief Takes over a record read from or acknowledged by the store.
+  void Apply(const Record& record, RecordOffset offset, MonotonicTime now);
+  /// @brief All records of the former owner are applied: what it may have spent counts as spent.
+  void FinishLoading();
+
+  /// @brief Reserves `demand.maximum` tokens unless the budget is spent.
+  Admission Admit(const TurnDemand& demand, MonotonicTime now);
+  /// @brief The admitted turn ended; `used` tokens were handed out.
+  void Settle(const ProgramId& program, TokenCount maximum, TokenCount used);
+  /// @brief The spend to record with the end of a turn that is still admitted and used `used`.
+  ProgramSpend SpendAtEnd(const ProgramId& program, TokenCount maximum, TokenCount used);
+  /// @brief Exact spend of every idle program, to be recorded before a planned release.
+  std::vector<ProgramSpend> ExactSpends() const;
+
+  /// @brief The turn and those before it, oldest first; none unless all are known.
+  std::optional<std::vector<const Turn*>> Chain(const TurnId& turn) const;
+  /// @brief Forgets expired turns and programs.
+  void Expire(WallTime wall_now, MonotonicTime now);
+  /// @brief Records that must be written again before the store drops those below `before`.
+  std::vector<Record> LiveRecordsBefore(RecordOffset before) const;
+  /// @brief Offset of the oldest record that is still needed.
+  std::optional<RecordOffset> OldestNeeded() const;
+
+  std::size_t turn_count() const { return turns_.size(); }
+  std::size_t program_count() const { return programs_.size(); }
+
+ private:
+  struct Program {
+    TokenCount spent;
+    TokenCount in_flight;
+    /// Durable, and the highest that was handed to the partition's appends.
+    TokenCount ceiling;
+    TokenCount queued_ceiling;
+    TokenCount budget;
+    TokenCount largest_turn;
+    MonotonicTime last_active;
+    RecordOffset offset;
+  };
+  struct StoredTurn {
+    Turn turn;
+    RecordOffset offset;
+  };
+
+  /// @brief Raises the queued ceiling of a program that may hand out `needed` tokens.
+  TokenCount RaiseCeiling(Program& program, TokenCount needed) const;
+
+  ProgramLedgerOptions options_;
+  std::unordered_map<ProgramId, Program> programs_;
+  std::unordered_map<TurnId, StoredTurn> turns_;
+};
+
+/// @brief The records were appended; `end` is the offset after the last of them.
+struct Appended {
+  RecordOffset end;
+};
+/// @brief Another owner has a higher epoch.
+struct Fenced {};
+/// @brief The store expects another sequence from this owner.
+struct SequenceMismatch {
+  AppendSequence expected;
+};
+/// @brief No answer, or one that says that nothing was done: the append may be repeated.
+struct StoreUnavailable {};
+using AppendResult = std::variant<Appended, Fenced, SequenceMismatch, StoreUnavailable>;
+
+struct ReadPieces {
+  RecordOffset first;
+  RecordOffset end;
+  std::vector<std::string> pieces;
+};
+/// @brief Records before `oldest` are no longer kept.
+struct HistoryDropped {
+  RecordOffset oldest;
+};
+using ReadResult = std::variant<ReadPieces, HistoryDropped, StoreUnavailable>;
+
+/// @brief The durable log of the partitions. Callbacks come from the loop, exactly once.
+class PartitionStore {
+ public:
+  virtual ~PartitionStore() = default;
+  /// @brief Appends all pieces or none. An append without pieces only sets the epoch.
+  virtual void Append(PartitionId partition,
+                      OwnerEpoch epoch,
+                      AppendSequence sequence,
+                      std::vector<std::string> pieces,
+                      std::function<void(const AppendResult&)> on_done) = 0;
+  virtual void Read(PartitionId partition,
+                    RecordOffset from,
+                    std::function<void(const ReadResult&)> on_done) = 0;
+  /// @brief Drops the records before an offset; a failure is not reported.
+  virtual void Trim(PartitionId partition, RecordOffset before) = 0;
+  /// @brief Calls back after a delay.
+  virtual void After(Duration delay, std::function<void()> callback) = 0;
+  virtual MonotonicTime Now() const = 0;
+  virtual WallTime WallNow() const = 0;
+};
+
+struct PartitionOptions {
+  ProgramLedgerOptions ledger = {};
+  /// Largest piece and largest append that the store takes.
+  std::size_t piece_bytes = std::size_t{256} << 10;
+  std::size_t append_bytes = std::size_t{2} << 20;
+  /// Wait before an append or read is repeated; doubles up to the maximum.
+  Duration retry_delay = std::chrono::milliseconds(30);
+  Duration max_retry_delay = std::chrono::milliseconds(400);
+  /// Age at which live records are written again; half of the store's retention.
+  Duration rewrite_age = std::chrono::seconds(150);
+};
+
+/// @brief One partition while this daemon owns it: takes it over, keeps its ledger and appends.
+class Partition : public std::enable_shared_from_this<Partition> {
+ public:
+  /// kLost: another owner has fenced this one, or it was released.
+  enum class State : std::uint8_t { kFencing, kLoading, kServing, kLost };
+  using OnStateChanged = std::function<void(const Partition&)>;
+
+  Partition(PartitionId id,
+            OwnerEpoch epoch,
+            PartitionStore& store,
+            PartitionOptions options,
+            OnStateChanged on_state_changed);
+
+  /// @brief Fences the former owner and reads the records.
+  void Start();
+  /// @brief Makes a record durable and applies it; `on_done` gets false if the partition is lost.
+  void Append(const Record& record, std::function<void(bool durable)> on_done);
+  /// @brief Asks the store whether this daemon still owns the partition. Needed before the absence
+  /// of a record is reported, because another owner may have written it.
+  void Confirm(std::function<void(bool owned)> on_done);
+  /// @brief Gives the partition up; appends that wait fail.
+  void Release();
+  /// @brief Expires, rewrites and trims; to be called every few seconds.
+  void Maintain();
+
+  PartitionId id() const { return id_; }
+  OwnerEpoch epoch() const { return epoch_; }
+  State state() const { return state_; }
+  ProgramLedger& ledger() { return ledger_; }
+  /// @brief Time since the oldest append that waits was queued; zero if none waits.
+  Duration append_delay() const;
+
+ private:
+  struct Waiting {
+    Record record;
+    std::vector<std::string> pieces;
+    std::function<void(bool)> on_done;
+    MonotonicTime queued_at;
+  };
+  struct Checkpoint {
+    RecordOffset offset;
+    MonotonicTime at;
+  };
+
+  void Fence();
+  void Load();
+  void OnRead(const ReadResult& result);
+  void Flush();
+  void SendBatch();
+  void OnAppended(const AppendResult& result);
+  void FinishBatch(RecordOffset end);
+  void Lose();
+  void SetState(State state);
+  void RetryLater(void (Partition::*operation)());
+
+  PartitionId id_;
+  OwnerEpoch epoch_;
+  PartitionStore& store_;
+  PartitionOptions options_;
+  OnStateChanged on_state_changed_;
+  State state_ = State::kFencing;
+  ProgramLedger ledger_;
+  RecordReader reader_;
+  RecordOffset next_offset_{};
+  AppendSequence sequence_{};
+  std::deque<Waiting> queue_;
+  std::vector<Waiting> batch_;
+  Duration retry_delay_{};
+  std::deque<Checkpoint> checkpoints_;
+};
+
+/// @brief Partition of a program among `count`.
+PartitionId PartitionOf(const ProgramId& program, std::uint32_t count);
+
+}  // namespace acaciaspring::ledger
+
+#endif  // ACACIASPRING_LEDGER_H_
--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -131,6 +132,8 @@
   /// @brief Queues bytes of the body; buffers until the socket takes them.
   virtual void Write(std::string_view data) = 0;
   virtual void End() = 0;
+  /// @brief Breaks the connection, so that an answer that has begun cannot look complete.
+  virtual void Abort() = 0;
   /// @brief Sends a whole answer.
   virtual void Respond(int status, const Headers& headers, std::string_view body) = 0;
   /// @brief Bytes accepted by Write and not yet handed to the socket.
@@ -164,6 +167,10 @@
   /// @brief Closes the listening socket; open connections go on and are closed after their next
   /// answer.
   void StopAccepting();
+  /// @brief Closes each connection after its next answer, while new ones are still accepted.
+  void CloseAfterAnswers();
+  /// @brief Replaces the limits of the options, also for open connections.
+  void SetLimits(std::size_t max_body_bytes, Duration io_timeout);
   /// @brief Requests whose answer is not wholly handed to the socket.
   std::size_t open_requests() const;
   /// @brief The bound address; the port is the real one when 0 was asked for.
@@ -183,10 +190,18 @@
   std::string body = {};
   /// Longest time without a byte from the server, and for connecting.
   Duration io_timeout = std::chrono::seconds(30);
+  /// Longest time for connecting; `io_timeout` holds when it is shorter.
+  Duration connect_timeout = std::chrono::seconds(30);
+  /// An answer that carries this header with another value belongs to an earlier request of the
+  /// connection and is dropped. Lower case; empty for no check.
+  std::string echo_header = {};
+  std::string echo_value = {};
+  /// Takes an answer without a length as whole when the server closes its connection in order.
+  bool accept_unframed = false;
 };
 
 /// @brief The whole answer arrived. An answer without a length that ends with its connection counts
-/// as interrupted instead, because a broken connection looks the same.
+/// as interrupted unless the request accepts such answers.
 struct HttpFinished {
   int status = 0;
 };
@@ -253,6 +268,38 @@
                                 std::size_t max_bytes,
                                 std::function<void(HttpReply reply)> on_done);
 
+/// @brief One server-sent event.
+struct SseEvent {
+  /// Value of the event's own `id` line; the last id of the stream is not inherited.
+  std::optional<std::string> id;
+  /// The `data` lines, joined by line feeds.
+  std::string data;
+};
+
+/// @brief Splits a stream of server-sent events into events, whatever the boundaries of the pieces
+/// in which it arrives.
+class SseParser {
+ public:
+  /// @brief `max_event_bytes` bounds the memory for one event, its lines and comments.
+  explicit SseParser(std::size_t max_event_bytes) : max_event_bytes_(max_event_bytes) {}
+
+  /// @brief The events that are complete with this piece. Nothing more comes after an overflow.
+  std::vector<SseEvent> Feed(std::string_view piece);
+  /// @brief True when an event was larger than the bound.
+  bool overflowed() const { return overflowed_; }
+
+ private:
+  void EndLine(std::vector<SseEvent>& events);
+  void TakeField(std::string_view name, std::string_view value);
+
+  std::size_t max_event_bytes_;
+  std::string line_;
+  SseEvent event_;
+  bool has_data_ = false;
+  bool after_carriage_return_ = false;
+  bool overflowed_ = false;
+};
+
 /// @brief Counts of messages dropped because they were malformed or not authentic.
 struct DropCounters {
   std::uint64_t bad_mac = 0;
--- a/include/acaciaspring/telemetry.h
+++ b/include/acaciaspring/telemetry.h
@@ -95,6 +95,41 @@
   std::unique_ptr<Impl> impl_;
 };
 
+/// @brief One field of an event log line.
+struct EventField {
+  std::string_view name;
+  std::variant<std::string, std::int64_t> value;
+};
+
+struct EventLogOptions {
+  /// Lines a second and lines at once; more are dropped and counted.
+  double lines_per_second = 300;
+  double burst = 600;
+  /// Where the lines go; written without blocking.
+  int file_descriptor = 1;
+};
+
+/// @brief Structured log: a JSON object a line with time, event name and fields. Lines beyond the
+/// rate, and lines that the reader does not take, are dropped; the next line tells how many.
+class EventLog {
+ public:
+  explicit EventLog(EventLogOptions options = {});
+  void Write(std::string_view event, const std::vector<EventField>& fields);
+  std::uint64_t dropped() const { return dropped_; }
+
+ private:
+  bool TakeToken();
+  void Flush();
+
+  EventLogOptions options_;
+  double tokens_;
+  std::chrono::steady_clock::time_point refilled_at_;
+  std::uint64_t dropped_ = 0;
+  std::uint64_t dropped_unreported_ = 0;
+  /// The rest of a line that the reader has not taken yet.
+  std::string pending_;
+};
+
 inline constexpr std::string_view kMetricsContentType = "text/plain; version=0.0.4; charset=utf-8";
 
 using TraceId = std::array<std::uint8_t, 16>;
--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -3,7 +3,7 @@
 
 readonly PACKAGES="g++ cmake ninja-build ccache clang-format clang-tidy libuv1-dev libh2o-dev libhttp-parser-dev libcereal-dev
   libgoogle-glog-dev libboost-dev libboost-program-options-dev libboost-test-dev libjsoncpp-dev libxxhash-dev
-  librapidcheck-dev libbenchmark-dev libssl-dev zlib1g-dev curl bc"
+  libtomlplusplus-dev librapidcheck-dev libbenchmark-dev libssl-dev zlib1g-dev curl bc"
 
 install_packages() {
   local missing=()
--- a/src/endpoint/model_stream.cc
+++ b/src/endpoint/model_stream.cc
@@ -11,7 +11,7 @@
 
 enum class IndexKind : std::uint8_t { kNone, kValid, kInvalid };
 
-IndexKind ReadIndex(const SseEvent& event, std::uint64_t& index) {
+IndexKind ReadIndex(const net::SseEvent& event, std::uint64_t& index) {
   if (!event.id) {
     return IndexKind::kNone;
   }
@@ -50,7 +50,7 @@
   if (outcome_) {
     return tokens;
   }
-  for (const SseEvent& event : parser_.Feed(piece)) {
+  for (const net::SseEvent& event : parser_.Feed(piece)) {
     TakeEvent(event, tokens);
     if (outcome_) {
       return tokens;
@@ -62,7 +62,7 @@
   return tokens;
 }
 
-void ModelStream::TakeEvent(const SseEvent& event, std::vector<StreamToken>& tokens) {
+void ModelStream::TakeEvent(const net::SseEvent& event, std::vector<StreamToken>& tokens) {
   if (event.data == "[DONE]") {
     TakeDone();
     return;
--- a/src/endpoint/model_stream.h
+++ b/src/endpoint/model_stream.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "acaciaspring/base.h"
+#include "acaciaspring/net.h"
 #include "acaciaspring/wire.h"
 #include "src/endpoint/json.h"
-#include "src/endpoint/sse_parser.h"
 
 namespace acaciaspring::endpoint {
 
@@ -33,7 +33,7 @@
   wire::Usage usage() const;
 
  private:
-  void TakeEvent(const SseEvent& event, std::vector<StreamToken>& tokens);
+  void TakeEvent(const net::SseEvent& event, std::vector<StreamToken>& tokens);
   void TakeChunk(const Json::Value& chunk,
                  std::optional<std::uint64_t> index,
                  std::vector<StreamToken>& tokens);
@@ -41,7 +41,7 @@
   void Fail(FailureReason reason) { outcome_ = Failed{reason}; }
 
   TokenCount max_tokens_;
-  SseParser parser_;
+  net::SseParser parser_;
   std::uint64_t next_index_ = 0;
   bool has_gap_ = false;
   std::optional<wire::Usage> final_usage_;
--- /dev/null
+++ b/src/gateway/caller_sink.cc
@@ -0,0 +1,89 @@
+#include "src/gateway/caller_sink.h"
+
+#include <cstdio>
+#include <utility>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+std::string FormatSeconds(Duration duration) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(duration).count());
+  return text.data();
+}
+
+}  // namespace
+
+CallerSink::CallerSink(Context& context,
+                       const CallerRequest& request,
+                       net::HttpResponderPtr responder)
+    : context_(context),
+      id_(request.id),
+      responder_(std::move(responder)),
+      arrived_at_(context.loop.Now()) {}
+
+void CallerSink::Head(int status, const net::Headers& headers) {
+  status_ = status;
+  responder_->Start(status, headers);
+}
+
+void CallerSink::Data(std::string_view data) {
+  responder_->Write(data);
+}
+
+void CallerSink::End() {
+  responder_->End();
+  Log("answered");
+}
+
+void CallerSink::Abort(const std::string& reason) {
+  responder_->Abort();
+  Log("aborted:" + reason);
+}
+
+void CallerSink::Refuse(const Refusal& refusal) {
+  status_ = refusal.status;
+  net::Headers headers;
+  if (!id_.empty()) {
+    headers.emplace_back(context_.options.headers.request_id, id_.value());
+  }
+  if (refusal.retry_after > Duration(0)) {
+    headers.emplace_back("retry-after", FormatSeconds(refusal.retry_after));
+  }
+  responder_->Respond(refusal.status, headers, refusal.reason + "\n");
+  Log("refused:" + refusal.reason);
+}
+
+void CallerSink::OnCallerGone(std::function<void()> callback) {
+  responder_->OnClosed([this, callback = std::move(callback)] {
+    if (!ended_) {
+      Log("caller_gone");
+      callback();
+    }
+  });
+}
+
+void CallerSink::Log(const std::string& outcome) {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  const auto total =
+      std::chrono::duration_cast<std::chrono::milliseconds>(context_.loop.Now() - arrived_at_);
+  context_.events.Write("request", {{"id", id_.value()},
+                                    {"route", route_},
+                                    {"version", static_cast<std::int64_t>(version_.value())},
+                                    {"status", static_cast<std::int64_t>(status_)},
+                                    {"outcome", outcome},
+                                    {"total_ms", total.count()}});
+  context_.metrics
+      .GetCounter("acaciaspring_requests_total", "Requests of callers by how they ended",
+                  {{"outcome", outcome}})
+      .Increment();
+  context_.metrics
+      .GetDistribution("acaciaspring_request_seconds", "Time from arrival to end of a request")
+      .Record(std::chrono::duration<double>(total).count());
+}
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/chain_search.h
@@ -0,0 +1,49 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_CHAIN_SEARCH_H_
+#define ACACIASPRING_SRC_GATEWAY_CHAIN_SEARCH_H_
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "src/gateway/ownership.h"
+#include "src/gateway/peer_links.h"
+#include "src/gateway/turn_run.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief Looks for a turn in the partitions of all daemons. A program may continue from a turn of
+/// another program, which is in any partition.
+class ChainSearch {
+ public:
+  using OnFound = std::function<void(const ChainSearchResult&)>;
+
+  ChainSearch(Context& context, Ownership& ownership, std::function<PeerLinks*()> links)
+      : context_(context), ownership_(ownership), links_(std::move(links)) {}
+
+  void Find(const ledger::TurnId& turn, OnFound on_done);
+  /// @brief Answers the query of another daemon.
+  void Answer(const ChainQuery& query, const PeerReply& reply);
+  void OnReply(const ChainReply& reply);
+
+ private:
+  struct Search {
+    OnFound on_done;
+    std::set<ledger::PartitionId> searched;
+    net::Timer timer;
+  };
+
+  /// @brief Searches the partitions of this daemon, and confirms them if the turn is not there.
+  void SearchOwn(const ledger::TurnId& turn, std::function<void(ChainReply)> on_done);
+  void Finish(ExchangeId id, const ChainSearchResult& result);
+
+  Context& context_;
+  Ownership& ownership_;
+  std::function<PeerLinks*()> links_;
+  std::unordered_map<ExchangeId, Search> searches_;
+  ExchangeId last_id_;
+};
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_CHAIN_SEARCH_H_
--- /dev/null
+++ b/src/gateway/context.h
@@ -0,0 +1,33 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_CONTEXT_H_
+#define ACACIASPRING_SRC_GATEWAY_CONTEXT_H_
+
+#include <random>
+
+#include "acaciaspring/gateway.h"
+#include "acaciaspring/telemetry.h"
+#include "src/gateway/endpoint_table.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief What the parts of a gateway share.
+struct Context {
+  Context(net::Loop& event_loop, const GatewayOptions& gateway_options)
+      : loop(event_loop),
+        options(gateway_options),
+        // Endpoints announce shorter limits themselves.
+        client(event_loop, {.pool_capacity = 64, .pool_idle = std::chrono::seconds(10)}),
+        endpoints(gateway_options.self.zone),
+        random(Hash64(gateway_options.self.id.value(), gateway_options.self.incarnation.value())) {}
+
+  net::Loop& loop;
+  GatewayOptions options;
+  net::HttpClient client;
+  EndpointTable endpoints;
+  std::mt19937_64 random;
+  telemetry::EventLog events;
+  telemetry::Registry metrics;
+};
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_CONTEXT_H_
--- /dev/null
+++ b/src/gateway/endpoint_call.cc
@@ -0,0 +1,266 @@
+#include "src/gateway/endpoint_call.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+// A connection within a region opens in a few milliseconds; an endpoint that takes longer is gone
+// or has a full queue of connections.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+// Attempts that did not run are repeated this often beyond the route's limit, which counts runs.
+constexpr std::uint32_t kMaxRejections = 3;
+// Larger answers of plain services are passed on before they are whole.
+constexpr std::size_t kMaxHeldBytes = std::size_t{256} << 10;
+// Least time that an attempt of a repeatable request gets before another endpoint is tried.
+constexpr Duration kMinAttemptTime = std::chrono::milliseconds(250);
+
+}  // namespace
+
+EndpointCall::EndpointCall(Context& context, CallPlan plan, CallEvents events)
+    : context_(context), plan_(std::move(plan)), events_(std::move(events)) {}
+
+bool EndpointCall::IsStream() const {
+  return plan_.kind == RequestKind::kStream || plan_.kind == RequestKind::kResumableStream;
+}
+
+bool EndpointCall::MayRunAgain() const {
+  return plan_.kind == RequestKind::kRepeatable && !delivering_;
+}
+
+void EndpointCall::Start() {
+  const auto left = std::chrono::duration_cast<Duration>(plan_.deadline - context_.loop.Now());
+  deadline_timer_ = context_.loop.After(std::max(left, Duration(0)), [this] { OnDeadline(); });
+  Attempt();
+}
+
+void EndpointCall::Attempt() {
+  const RegisteredEndpoint* endpoint = context_.endpoints.Choose(
+      {.service = plan_.service, .preferred = plan_.preferred, .excluded = tried_},
+      context_.loop.Now(), context_.random);
+  if (endpoint == nullptr) {
+    // Reported from the loop, so that no event comes before Start returns.
+    const NotRunReason reason =
+        tried_.empty() ? NotRunReason::kNoEndpoint : NotRunReason::kOverloaded;
+    const Outcome outcome = runs_ == 0 ? Outcome(NotRun{.reason = reason})
+                                       : Outcome(Unknown{.reason = UnknownReason::kConnectionLost});
+    context_.loop.Post([weak = weak_from_this(), outcome] {
+      if (const auto self = weak.lock()) {
+        self->Finish(outcome);
+      }
+    });
+    return;
+  }
+  endpoint_ = endpoint->id;
+  tried_.push_back(endpoint->id);
+  ++attempts_;
+  rejected_ = false;
+  held_.clear();
+  in_flight_ = true;
+  context_.endpoints.OnStarted(endpoint_);
+  if (plan_.kind == RequestKind::kRepeatable && runs_ + 1 < plan_.max_attempts) {
+    const auto left = std::chrono::duration_cast<Duration>(plan_.deadline - context_.loop.Now());
+    attempt_timer_ =
+        context_.loop.After(std::max(kMinAttemptTime, left / 3), [this] { OnAttemptTimeout(); });
+  }
+  http_ = context_.client.Send(
+      MakeRequest(*endpoint),
+      {.on_head = [this](int status, const net::Headers& headers) { OnHead(status, headers); },
+       .on_data = [this](std::string_view data) { OnData(data); },
+       .on_done =
+           [this](const net::HttpResult& result) {
+             const auto self = shared_from_this();
+             OnDone(result);
+           }});
+}
+
+net::HttpClientRequest EndpointCall::MakeRequest(const RegisteredEndpoint& endpoint) const {
+  const HeaderNames& names = context_.options.headers;
+  const auto left = std::chrono::duration_cast<Duration>(plan_.deadline - context_.loop.Now());
+  const auto left_ms = std::max<std::int64_t>(
+      1, std::chrono::duration_cast<std::chrono::milliseconds>(left).count());
+  net::HttpClientRequest request{.server = endpoint.address,
+                                 .method = plan_.method,
+                                 .target = plan_.target,
+                                 .headers = plan_.headers,
+                                 .body = plan_.body,
+                                 .io_timeout = std::max(left, Duration(0)) + kConnectTimeout,
+                                 .connect_timeout = kConnectTimeout,
+                                 .echo_header = names.request_id,
+                                 .echo_value = plan_.id.value(),
+                                 .accept_unframed = true};
+  request.headers.emplace_back(names.deadline_ms, std::to_string(left_ms));
+  request.headers.emplace_back(names.expected_endpoint, endpoint.id.value());
+  if (IsStream()) {
+    request.headers.emplace_back(names.priority, std::to_string(std::min(plan_.priority, 9U)));
+  }
+  return request;
+}
+
+void EndpointCall::OnHead(int status, const net::Headers& headers) {
+  status_ = status;
+  answer_headers_ = headers;
+  rejected_ =
+      !net::FindHeader(headers, context_.options.headers.not_executed).empty() || status == 421;
+  // An error of a repeatable request is held, because another endpoint may answer.
+  if (!rejected_ && IsStream() && status < 300) {
+    Deliver();
+  }
+}
+
+void EndpointCall::OnData(std::string_view data) {
+  if (rejected_) {
+    return;
+  }
+  if (delivering_) {
+    events_.on_data(data);
+    return;
+  }
+  held_.append(data);
+  if (held_.size() > kMaxHeldBytes) {
+    Deliver();
+  }
+}
+
+void EndpointCall::Deliver() {
+  delivering_ = true;
+  attempt_timer_.Cancel();
+  events_.on_head(status_, answer_headers_);
+  if (!held_.empty()) {
+    const std::string held = std::exchange(held_, {});
+    events_.on_data(held);
+  }
+}
+
+void EndpointCall::OnDone(const net::HttpResult& result) {
+  if (done_) {
+    return;
+  }
+  std::visit(Overloaded{[&](const net::HttpFinished&) {
+                          if (rejected_) {
+                            OnRejected();
+                          } else {
+                            OnAnswered();
+                          }
+                        },
+                        [&](const net::HttpNotSent&) {
+                          EndAttempt(CallVerdict::kFailed);
+                          TryAgain(NotRun{.reason = NotRunReason::kEndpointUnavailable});
+                        },
+                        [&](const net::HttpInterrupted& interrupted) {
+                          OnInterrupted(interrupted.timed_out);
+                        }},
+             result);
+}
+
+void EndpointCall::OnAnswered() {
+  ++runs_;
+  const bool server_error = status_ >= 500;
+  EndAttempt(server_error ? CallVerdict::kFailed : CallVerdict::kAnswered);
+  if (server_error && MayRunAgain() && runs_ < plan_.max_attempts) {
+    Attempt();
+    return;
+  }
+  const auto self = shared_from_this();
+  if (!delivering_) {
+    Deliver();
+  }
+  if (!done_) {
+    Finish(Completed{});
+  }
+}
+
+void EndpointCall::OnRejected() {
+  // Another endpoint answers at the address, which therefore is no longer that of the chosen one.
+  EndAttempt(status_ == 421 ? CallVerdict::kFailed : CallVerdict::kRejected);
+  TryAgain(NotRun{.reason = NotRunReason::kOverloaded});
+}
+
+void EndpointCall::OnInterrupted(bool timed_out) {
+  ++runs_;
+  EndAttempt(CallVerdict::kFailed);
+  const Unknown unknown{timed_out ? UnknownReason::kTimeout : UnknownReason::kConnectionLost};
+  if (MayRunAgain()) {
+    TryAgain(unknown);
+  } else {
+    Finish(unknown);
+  }
+}
+
+void EndpointCall::OnAttemptTimeout() {
+  const auto self = shared_from_this();
+  if (!in_flight_ || delivering_ || done_) {
+    return;
+  }
+  http_->Cancel();
+  OnInterrupted(/*timed_out=*/true);
+}
+
+void EndpointCall::OnDeadline() {
+  const auto self = shared_from_this();
+  if (done_) {
+    return;
+  }
+  if (in_flight_) {
+    http_->Cancel();
+    ++runs_;
+    EndAttempt(CallVerdict::kFailed);
+  }
+  if (runs_ == 0) {
+    Finish(NotRun{.reason = NotRunReason::kDeadlineExceeded});
+  } else {
+    Finish(Unknown{.reason = UnknownReason::kTimeout});
+  }
+}
+
+void EndpointCall::TryAgain(const Outcome& outcome) {
+  const bool time_left = context_.loop.Now() < plan_.deadline;
+  if (time_left && runs_ < plan_.max_attempts && attempts_ < plan_.max_attempts + kMaxRejections) {
+    Attempt();
+    return;
+  }
+  // An earlier attempt may have run, whatever the last one says.
+  if (runs_ > 0 && std::holds_alternative<NotRun>(outcome)) {
+    Finish(Unknown{.reason = UnknownReason::kConnectionLost});
+    return;
+  }
+  Finish(outcome);
+}
+
+void EndpointCall::EndAttempt(CallVerdict verdict) {
+  in_flight_ = false;
+  attempt_timer_.Cancel();
+  context_.endpoints.OnFinished(endpoint_, verdict, context_.loop.Now());
+}
+
+void EndpointCall::Finish(const Outcome& outcome) {
+  if (done_) {
+    return;
+  }
+  done_ = true;
+  deadline_timer_.Cancel();
+  attempt_timer_.Cancel();
+  const CallEvents events = std::exchange(events_, {});
+  events.on_done(outcome);
+}
+
+void EndpointCall::Cancel() {
+  if (done_) {
+    return;
+  }
+  done_ = true;
+  deadline_timer_.Cancel();
+  attempt_timer_.Cancel();
+  if (http_ != nullptr) {
+    http_->Cancel();
+  }
+  if (in_flight_) {
+    EndAttempt(CallVerdict::kCancelled);
+  }
+  // This may run within one of the callbacks, which must outlive it.
+  context_.loop.Post([events = std::exchange(events_, {})] {});
+}
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/endpoint_table.cc
@@ -0,0 +1,142 @@
+#include "src/gateway/endpoint_table.h"
+
+#include <algorithm>
+
+namespace acaciaspring::gateway {
+
+void EndpointTable::SetEndpoints(std::vector<RegisteredEndpoint> endpoints) {
+  std::unordered_map<EndpointId, Entry> updated;
+  by_service_.clear();
+  for (RegisteredEndpoint& endpoint : endpoints) {
+    const EndpointId id = endpoint.id;
+    Entry entry;
+    const auto known = endpoints_.find(id);
+    // A new run under the same id, or at another address, starts without the old one's state.
+    if (known != endpoints_.end() &&
+        known->second.description.started_at_ms == endpoint.started_at_ms &&
+        known->second.description.address == endpoint.address) {
+      entry = known->second;
+    }
+    by_service_[endpoint.service].push_back(id);
+    entry.description = std::move(endpoint);
+    updated.insert_or_assign(id, std::move(entry));
+  }
+  endpoints_ = std::move(updated);
+}
+
+void EndpointTable::SetRemoteCounts(const DaemonId& daemon, const InFlightCounts& counts) {
+  ForgetDaemon(daemon);
+  for (const auto& [endpoint, count] : counts) {
+    if (const auto found = endpoints_.find(endpoint); found != endpoints_.end()) {
+      found->second.remote += count;
+    }
+  }
+  remote_[daemon] = counts;
+}
+
+void EndpointTable::ForgetDaemon(const DaemonId& daemon) {
+  const auto known = remote_.find(daemon);
+  if (known == remote_.end()) {
+    return;
+  }
+  for (const auto& [endpoint, count] : known->second) {
+    if (const auto found = endpoints_.find(endpoint); found != endpoints_.end()) {
+      found->second.remote -= std::min(count, found->second.remote);
+    }
+  }
+  remote_.erase(known);
+}
+
+InFlightCounts EndpointTable::OwnCounts() const {
+  InFlightCounts counts;
+  for (const auto& [id, entry] : endpoints_) {
+    if (entry.own > 0) {
+      counts.emplace_back(id, entry.own);
+    }
+  }
+  return counts;
+}
+
+double EndpointTable::Load(const Entry& entry) const {
+  return static_cast<double>(entry.own + entry.remote) /
+         static_cast<double>(std::max<std::uint32_t>(entry.description.slots, 1));
+}
+
+bool EndpointTable::Usable(const Entry& entry, const EndpointQuery& query) const {
+  return entry.description.state == EndpointState::kReady &&
+         std::find(query.excluded.begin(), query.excluded.end(), entry.description.id) ==
+             query.excluded.end();
+}
+
+const RegisteredEndpoint* EndpointTable::Choose(const EndpointQuery& query,
+                                                MonotonicTime now,
+                                                std::mt19937_64& random) const {
+  const auto of_service = by_service_.find(query.service);
+  if (of_service == by_service_.end()) {
+    return nullptr;
+  }
+  if (const auto sticky = endpoints_.find(query.preferred); sticky != endpoints_.end()) {
+    const Entry& entry = sticky->second;
+    if (Usable(entry, query) && entry.description.service == query.service &&
+        entry.avoid_until <= now && Load(entry) < options_.sticky_load) {
+      return &entry.description;
+    }
+  }
+  const RegisteredEndpoint* best = nullptr;
+  double best_score = 0;
+  for (const EndpointId& id : of_service->second) {
+    const Entry& entry = endpoints_.at(id);
+    if (!Usable(entry, query)) {
+      continue;
+    }
+    // The jitter of one slot keeps daemons with equal views from choosing the same endpoint.
+    std::uniform_real_distribution<double> jitter(
+        0.0, 1.0 / std::max<std::uint32_t>(entry.description.slots, 1));
+    double score = Load(entry) + entry.failure_share * options_.failure_penalty + jitter(random);
+    if (entry.description.zone != zone_) {
+      score += options_.zone_penalty;
+    }
+    if (entry.avoid_until > now) {
+      // Only chosen when every other endpoint is avoided as well.
+      score += 100.0;
+    }
+    if (best == nullptr || score < best_score) {
+      best = &entry.description;
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void EndpointTable::OnStarted(const EndpointId& endpoint) {
+  if (const auto found = endpoints_.find(endpoint); found != endpoints_.end()) {
+    ++found->second.own;
+  }
+}
+
+void EndpointTable::OnFinished(const EndpointId& endpoint, CallVerdict verdict, MonotonicTime now) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  entry.own -= std::min<std::uint32_t>(1, entry.own);
+  switch (verdict) {
+    case CallVerdict::kCancelled:
+    case CallVerdict::kRejected:
+      return;
+    case CallVerdict::kAnswered:
+      entry.failures_in_row = 0;
+      entry.failure_share *= 1.0 - options_.failure_weight;
+      return;
+    case CallVerdict::kFailed:
+      entry.failure_share += (1.0 - entry.failure_share) * options_.failure_weight;
+      entry.avoid_until =
+          now + std::min(options_.first_avoidance * (1 << std::min(entry.failures_in_row, 6U)),
+                         options_.max_avoidance);
+      ++entry.failures_in_row;
+      return;
+  }
+}
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/endpoint_table.h
@@ -0,0 +1,93 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_ENDPOINT_TABLE_H_
+#define ACACIASPRING_SRC_GATEWAY_ENDPOINT_TABLE_H_
+
+#include <map>
+#include <optional>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciaspring/gateway.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief Calls in flight by endpoint.
+using InFlightCounts = std::vector<std::pair<EndpointId, std::uint32_t>>;
+
+struct EndpointTableOptions {
+  /// How long an endpoint is avoided after a failure; doubles with each further one.
+  Duration first_avoidance = std::chrono::milliseconds(250);
+  Duration max_avoidance = std::chrono::seconds(4);
+  /// Weight of a new call in the failure share of an endpoint.
+  double failure_weight = 0.2;
+  /// Load, as a share of the slots, that an endpoint in another zone must save.
+  double zone_penalty = 0.15;
+  /// Load that a failure share of one counts as.
+  double failure_penalty = 3.0;
+  /// Load up to which a session stays at the endpoint that has its prefix in memory.
+  double sticky_load = 0.9;
+};
+
+struct EndpointQuery {
+  ServiceId service = {};
+  /// Endpoint that ran the previous call of the session, or empty.
+  EndpointId preferred = {};
+  std::vector<EndpointId> excluded = {};
+};
+
+/// @brief How a call to an endpoint ended, as far as it tells about the endpoint.
+enum class CallVerdict : std::uint8_t {
+  kAnswered,
+  /// The endpoint rejected the call without running it.
+  kRejected,
+  /// No answer, a broken one, or an error of the endpoint.
+  kFailed,
+  /// Ended by this side.
+  kCancelled,
+};
+
+/// @brief The endpoints of all services, what is known of their load and health, and the choice
+/// between them.
+class EndpointTable {
+ public:
+  EndpointTable(AvailabilityZone zone, EndpointTableOptions options = {})
+      : zone_(std::move(zone)), options_(options) {}
+
+  void SetEndpoints(std::vector<RegisteredEndpoint> endpoints);
+  /// @brief Replaces what another daemon has in flight.
+  void SetRemoteCounts(const DaemonId& daemon, const InFlightCounts& counts);
+  void ForgetDaemon(const DaemonId& daemon);
+  InFlightCounts OwnCounts() const;
+
+  /// @brief Null if no endpoint can take the call.
+  const RegisteredEndpoint* Choose(const EndpointQuery& query,
+                                   MonotonicTime now,
+                                   std::mt19937_64& random) const;
+  void OnStarted(const EndpointId& endpoint);
+  void OnFinished(const EndpointId& endpoint, CallVerdict verdict, MonotonicTime now);
+
+  std::size_t size() const { return endpoints_.size(); }
+
+ private:
+  struct Entry {
+    RegisteredEndpoint description;
+    std::uint32_t own = 0;
+    std::uint32_t remote = 0;
+    std::uint32_t failures_in_row = 0;
+    double failure_share = 0;
+    MonotonicTime avoid_until;
+  };
+
+  double Load(const Entry& entry) const;
+  bool Usable(const Entry& entry, const EndpointQuery& query) const;
+
+  AvailabilityZone zone_;
+  EndpointTableOptions options_;
+  std::unordered_map<EndpointId, Entry> endpoints_;
+  std::unordered_map<ServiceId, std::vector<EndpointId>> by_service_;
+  std::unordered_map<DaemonId, InFlightCounts> remote_;
+};
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_ENDPOINT_TABLE_H_
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,343 @@
+#include "acaciaspring/gateway.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "src/gateway/caller_sink.h"
+#include "src/gateway/context.h"
+#include "src/gateway/endpoint_call.h"
+#include "src/gateway/ownership.h"
+#include "src/gateway/peer_links.h"
+#include "src/gateway/route_table.h"
+#include "src/gateway/turn_router.h"
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+// Load of other daemons and owners of partitions are known this late at most.
+constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(200);
+constexpr Duration kMaintenancePeriod = std::chrono::seconds(5);
+constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(20);
+// With fewer entries in its own zone a caller also gets those of other zones.
+constexpr std::size_t kMinZoneEntries = 2;
+constexpr std::size_t kMaxEntries = 64;
+
+std::size_t HeaderBytes(const net::Headers& headers) {
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : headers) {
+    bytes += name.size() + value.size() + 4;
+  }
+  return bytes;
+}
+
+}  // namespace
+
+struct Gateway::Impl {
+  Impl(net::Loop& loop, GatewayOptions options, ledger::PartitionStore& store)
+      : context(loop, options),
+        ownership(context, store, [this] { OnOwnershipChanged(); }),
+        router(context, ownership, [this] { return links.get(); }) {}
+
+  void JoinCluster(const std::string& cluster_key);
+  void OnOwnershipChanged();
+  void Heartbeat();
+  void Handle(CallerRequest request, net::HttpResponderPtr responder);
+  void HandleTurn(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
+  void HandleCall(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
+  std::optional<Refusal> Check(const CallerRequest& request, const Route* route) const;
+  Duration TimeFor(const CallerRequest& request, const Route& route) const;
+  void CheckDrained();
+
+  Context context;
+  std::optional<Configuration> configuration;
+  std::unique_ptr<RouteTable> routes;
+  std::unordered_map<ServiceId, Service> services;
+  Ownership ownership;
+  std::unique_ptr<PeerLinks> links;
+  std::vector<Member> members;
+  TurnRouter router;
+  std::set<std::shared_ptr<EndpointCall>> calls;
+  net::Timer heartbeat;
+  net::Timer maintenance;
+  net::Timer drain_timer;
+  std::function<void()> on_drained;
+  bool draining = false;
+  bool endpoints_known = false;
+};
+
+void Gateway::Impl::JoinCluster(const std::string& cluster_key) {
+  links = std::make_unique<PeerLinks>(
+      context, cluster_key,
+      PeerHandlers{
+          .on_status =
+              [this](const DaemonId& daemon, const PeerStatus& status) {
+                context.endpoints.SetRemoteCounts(daemon, status.in_flight);
+                ownership.OnStatus(daemon, status);
+                router.Retry();
+              },
+          .on_message =
+              [this](const DaemonId& daemon, PeerMessage message, const PeerReply& reply) {
+                router.OnMessage(daemon, std::move(message), reply);
+              },
+          .on_open = [this](const DaemonId&) { Heartbeat(); },
+          .on_lost =
+              [this](const DaemonId& daemon) {
+                context.events.Write("peer_lost", {{"peer", daemon.value()}});
+                context.endpoints.ForgetDaemon(daemon);
+                ownership.ForgetDaemon(daemon);
+                router.OnPeerLost(daemon);
+              },
+          .on_asker_lost = [this](const DaemonId& daemon) { router.OnAskerLost(daemon); }});
+  links->SetMembers(members);
+  heartbeat = context.loop.Every(kHeartbeatPeriod, [this] { Heartbeat(); });
+  maintenance = context.loop.Every(kMaintenancePeriod, [this] { ownership.Maintain(); });
+}
+
+void Gateway::Impl::OnOwnershipChanged() {
+  // Called from within a partition, which must not be re-entered.
+  context.loop.Post([this] {
+    router.Retry();
+    Heartbeat();
+  });
+}
+
+void Gateway::Impl::Heartbeat() {
+  if (links != nullptr) {
+    links->Heartbeat({.ready = configuration.has_value() && endpoints_known && !draining,
+                      .in_flight = context.endpoints.OwnCounts(),
+                      .owned = ownership.Owned()});
+  }
+}
+
+std::optional<Refusal> Gateway::Impl::Check(const CallerRequest& request,
+                                            const Route* route) const {
+  if (!configuration) {
+    return Refusal{.status = 503, .reason = "no_configuration", .retry_after = kHeartbeatPeriod};
+  }
+  if (HeaderBytes(request.headers) > configuration->limits.max_header_bytes) {
+    return Refusal{.status = 431, .reason = "headers_too_large"};
+  }
+  if (request.id.empty()) {
+    return Refusal{.status = 400, .reason = "no_request_id"};
+  }
+  if (route == nullptr || route->services.empty()) {
+    return Refusal{.status = 404, .reason = "no_route"};
+  }
+  return std::nullopt;
+}
+
+Duration Gateway::Impl::TimeFor(const CallerRequest& request, const Route& route) const {
+  return std::min(request.deadline.value_or(route.timeout), route.timeout);
+}
+
+void Gateway::Impl::Handle(CallerRequest request, net::HttpResponderPtr responder) {
+  auto sink = std::make_shared<CallerSink>(context, request, std::move(responder));
+  const Route* route = routes == nullptr ? nullptr : routes->Find(request.host, request.path);
+  if (const auto refusal = Check(request, route)) {
+    sink->Refuse(*refusal);
+    return;
+  }
+  sink->SetRoute(route->name, configuration->version);
+  const bool is_turn = request.program && (request.program->budget || route->retained);
+  if (is_turn) {
+    HandleTurn(*route, std::move(request), std::move(sink));
+  } else {
+    HandleCall(*route, std::move(request), std::move(sink));
+  }
+}
+
+void Gateway::Impl::HandleTurn(const Route& route,
+                               CallerRequest request,
+                               std::shared_ptr<CallerSink> sink) {
+  const ServiceId service = ChooseService(route, request.program->session.value());
+  const auto known = services.find(service);
+  TurnRequest turn{
+      .id = request.id,
+      .service = service,
+      .kind = route.kind,
+      .priority = route.priority,
+      .max_attempts = route.max_attempts,
+      .retained = route.retained,
+      .retention_us = route.retention.count(),
+      .tokens_per_event = known == services.end() ? TokenCount(1) : known->second.tokens_per_event,
+      .left_us = TimeFor(request, route).count(),
+      .program = *request.program,
+      .method = std::move(request.method),
+      .target = std::move(request.target),
+      .headers = std::move(request.headers),
+      .body = std::move(request.body)};
+  const ExchangeId id = router.Submit(std::move(turn), sink);
+  sink->OnCallerGone([this, id] { router.Cancel(id); });
+}
+
+void Gateway::Impl::HandleCall(const Route& route,
+                               CallerRequest request,
+                               std::shared_ptr<CallerSink> sink) {
+  CallPlan plan{.id = request.id,
+                .service = ChooseService(route, request.id.value()),
+                .kind = route.kind,
+                .priority = route.priority,
+                .max_attempts = route.max_attempts,
+                .method = std::move(request.method),
+                .target = std::move(request.target),
+                .headers = std::move(request.headers),
+                .body = std::move(request.body),
+                .deadline = context.loop.Now() + TimeFor(request, route)};
+  const auto begun = std::make_shared<bool>(false);
+  const auto self = std::make_shared<std::weak_ptr<EndpointCall>>();
+  const auto call = std::make_shared<EndpointCall>(
+      context, std::move(plan),
+      CallEvents{.on_head =
+                     [sink, begun](int status, const net::Headers& headers) {
+                       *begun = true;
+                       sink->Head(status, headers);
+                     },
+                 .on_data = [sink](std::string_view data) { sink->Data(data); },
+                 .on_done =
+                     [this, sink, begun, self](const Outcome& outcome) {
+                       if (std::holds_alternative<Completed>(outcome)) {
+                         sink->End();
+                       } else {
+                         Fail(*sink, *begun, RefusalFor(outcome));
+                       }
+                       // The call is still executing its last step.
+                       context.loop.Post([live = self->lock()] {});
+                       calls.erase(self->lock());
+                     }});
+  *self = call;
+  calls.insert(call);
+  sink->OnCallerGone([this, self] {
+    if (const auto live = self->lock()) {
+      live->Cancel();
+      calls.erase(live);
+    }
+  });
+  call->Start();
+}
+
+void Gateway::Impl::CheckDrained() {
+  if (router.running() > 0 || !on_drained) {
+    return;
+  }
+  const auto served = ownership.ServedPartitions();
+  const auto pending = std::make_shared<std::size_t>(1);
+  const auto finish_one = [this, pending](bool) {
+    if (--*pending == 0) {
+      ownership.ReleaseAll();
+      if (const auto done = std::exchange(on_drained, nullptr)) {
+        done();
+      }
+    }
+  };
+  drain_timer.Cancel();
+  // The next owner need not count what this one had reserved ahead.
+  for (const auto& partition : served) {
+    for (const ledger::ProgramSpend& spend : partition->ledger().ExactSpends()) {
+      ++*pending;
+      partition->Append({.spend = spend}, finish_one);
+    }
+  }
+  finish_one(true);
+}
+
+Gateway::Gateway(net::Loop& loop, GatewayOptions options, ledger::PartitionStore& store)
+    : impl_(std::make_unique<Impl>(loop, std::move(options), store)) {}
+
+Gateway::~Gateway() = default;
+
+void Gateway::JoinCluster(const std::string& cluster_key) {
+  impl_->JoinCluster(cluster_key);
+}
+
+void Gateway::SetConfiguration(Configuration configuration) {
+  const bool first = !impl_->configuration;
+  if (!first && configuration.version <= impl_->configuration->version) {
+    return;
+  }
+  impl_->context.events.Write(
+      "configuration",
+      {{"version", static_cast<std::int64_t>(configuration.version.value())},
+       {"former",
+        first ? std::int64_t{0} : static_cast<std::int64_t>(impl_->configuration->version.value())},
+       {"routes", static_cast<std::int64_t>(configuration.routes.size())}});
+  impl_->routes = std::make_unique<RouteTable>(configuration.routes);
+  impl_->services.clear();
+  for (const Service& service : configuration.services) {
+    impl_->services[service.id] = service;
+  }
+  impl_->configuration = std::move(configuration);
+}
+
+void Gateway::SetEndpoints(std::vector<RegisteredEndpoint> endpoints) {
+  impl_->endpoints_known = true;
+  impl_->context.endpoints.SetEndpoints(std::move(endpoints));
+}
+
+void Gateway::SetMembers(std::vector<Member> members) {
+  impl_->members = std::move(members);
+  if (impl_->links != nullptr) {
+    impl_->links->SetMembers(impl_->members);
+  }
+}
+
+void Gateway::SetAssignment(const std::vector<AssignedPartition>& assigned) {
+  impl_->ownership.SetAssignment(assigned);
+}
+
+void Gateway::Handle(CallerRequest request, net::HttpResponderPtr responder) {
+  impl_->Handle(std::move(request), std::move(responder));
+}
+
+DirectoryAnswer Gateway::FindEntries(const AvailabilityZone& zone) const {
+  std::vector<Member> entries;
+  if (impl_->links != nullptr) {
+    entries = impl_->links->ReadyMembers();
+  }
+  if (ready()) {
+    entries.push_back(impl_->context.options.self);
+  }
+  std::vector<Member> near;
+  std::copy_if(entries.begin(), entries.end(), std::back_inserter(near),
+               [&](const Member& member) { return member.zone == zone; });
+  const std::vector<Member>& chosen = near.size() >= kMinZoneEntries ? near : entries;
+  DirectoryAnswer answer{.ttl = impl_->context.options.directory_ttl};
+  for (const Member& member : chosen) {
+    if (answer.addresses.size() < kMaxEntries) {
+      answer.addresses.push_back(member.caller_address);
+    }
+  }
+  return answer;
+}
+
+bool Gateway::ready() const {
+  return impl_->configuration.has_value() && impl_->endpoints_known && impl_->links != nullptr &&
+         !impl_->draining;
+}
+
+const CallerLimits& Gateway::limits() const {
+  static const CallerLimits defaults;
+  return impl_->configuration ? impl_->configuration->limits : defaults;
+}
+
+void Gateway::Drain(std::function<void()> on_idle) {
+  impl_->draining = true;
+  impl_->on_drained = std::move(on_idle);
+  impl_->ownership.StopServing();
+  impl_->Heartbeat();
+  impl_->drain_timer =
+      impl_->context.loop.Every(kDrainCheckPeriod, [this] { impl_->CheckDrained(); });
+}
+
+std::size_t Gateway::open_requests() const {
+  return impl_->calls.size() + impl_->router.open_turns();
+}
+
+std::string Gateway::MetricsText() const {
+  return impl_->context.metrics.Text();
+}
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/peer_links.cc
@@ -0,0 +1,217 @@
+#include "src/gateway/peer_links.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+// Five heartbeats; a daemon that is silent for longer has stopped, is paused or is cut off.
+constexpr Duration kPeerSilence = std::chrono::milliseconds(1000);
+constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
+
+}  // namespace
+
+PeerLinks::PeerLinks(Context& context, std::string cluster_key, PeerHandlers handlers)
+    : context_(context), cluster_key_(std::move(cluster_key)), handlers_(std::move(handlers)) {
+  listener_ = std::make_unique<net::PeerListener>(
+      context_.loop, context_.options.self.peer_address, cluster_key_,
+      [this](net::PeerConnectionPtr connection) { return Accept(std::move(connection)); }, drops_);
+}
+
+PeerLinks::~PeerLinks() {
+  listener_.reset();
+  incoming_.clear();
+  outgoing_.clear();
+}
+
+net::PeerCallbacks PeerLinks::Accept(net::PeerConnectionPtr connection) {
+  auto incoming = std::make_shared<Incoming>(Incoming{.connection = std::move(connection)});
+  incoming_.emplace(incoming.get(), incoming);
+  return {.on_message =
+              [this, key = incoming.get()](std::string_view payload) {
+                if (const auto found = incoming_.find(key); found != incoming_.end()) {
+                  OnIncoming(std::shared_ptr<Incoming>(found->second), payload);
+                }
+              },
+          .on_closed =
+              [this, key = incoming.get()] {
+                const auto found = incoming_.find(key);
+                if (found == incoming_.end()) {
+                  return;
+                }
+                const auto closed = found->second;
+                incoming_.erase(found);
+                if (closed->member) {
+                  handlers_.on_asker_lost(closed->member->id);
+                }
+              }};
+}
+
+std::optional<PeerMessage> PeerLinks::Decode(std::string_view payload) {
+  try {
+    return DecodePeerMessage(payload);
+  } catch (const wire::DecodeError& error) {
+    ++drops_.malformed;
+    LOG(WARNING) << "peer message of " << payload.size() << " bytes dropped: " << error.what();
+    return std::nullopt;
+  }
+}
+
+void PeerLinks::OnIncoming(const std::shared_ptr<Incoming>& incoming, std::string_view payload) {
+  auto message = Decode(payload);
+  if (!message) {
+    return;
+  }
+  if (auto* hello = std::get_if<PeerHello>(&*message)) {
+    incoming->member = std::move(hello->member);
+    return;
+  }
+  if (!incoming->member) {
+    incoming->connection->Close();
+    return;
+  }
+  const DaemonId id = incoming->member->id;
+  if (const auto* status = std::get_if<PeerStatus>(&*message)) {
+    heard_[id] = {.member = *incoming->member, .ready = status->ready, .at = context_.loop.Now()};
+    handlers_.on_status(id, *status);
+    return;
+  }
+  handlers_.on_message(id, std::move(*message),
+                       [weak = std::weak_ptr<Incoming>(incoming)](const PeerMessage& reply) {
+                         if (const auto live = weak.lock()) {
+                           live->connection->Send(EncodePeerMessage(reply));
+                         }
+                       });
+}
+
+void PeerLinks::SetMembers(const std::vector<Member>& members) {
+  std::unordered_map<DaemonId, Member> wanted;
+  for (const Member& member : members) {
+    if (member.id != context_.options.self.id) {
+      wanted[member.id] = member;
+    }
+  }
+  std::vector<DaemonId> removed;
+  for (const auto& [id, link] : outgoing_) {
+    const auto found = wanted.find(id);
+    if (found == wanted.end() || found->second.peer_address != link.member.peer_address) {
+      removed.push_back(id);
+    }
+  }
+  for (const DaemonId& id : removed) {
+    outgoing_.erase(id);
+    heard_.erase(id);
+    handlers_.on_lost(id);
+  }
+  for (const auto& [id, member] : wanted) {
+    if (!outgoing_.contains(id)) {
+      outgoing_[id].member = member;
+      Connect(id);
+    }
+  }
+}
+
+void PeerLinks::Connect(const DaemonId& daemon) {
+  Outgoing& link = outgoing_.at(daemon);
+  link.connection = net::ConnectPeer(
+      context_.loop, link.member.peer_address, cluster_key_,
+      {.on_open =
+           [this, daemon] {
+             const auto found = outgoing_.find(daemon);
+             if (found == outgoing_.end()) {
+               return;
+             }
+             found->second.opened_at = context_.loop.Now();
+             found->second.connection->Send(
+                 EncodePeerMessage(PeerHello{.member = context_.options.self}));
+             handlers_.on_open(daemon);
+           },
+       .on_message = [this,
+                      daemon](std::string_view payload) { OnOutgoingMessage(daemon, payload); },
+       .on_closed = [this, daemon] { OnOutgoingClosed(daemon); }},
+      drops_);
+}
+
+void PeerLinks::OnOutgoingMessage(const DaemonId& daemon, std::string_view payload) {
+  if (auto message = Decode(payload)) {
+    handlers_.on_message(daemon, std::move(*message),
+                         [this, daemon](const PeerMessage& reply) { Send(daemon, reply); });
+  }
+}
+
+void PeerLinks::OnOutgoingClosed(const DaemonId& daemon) {
+  const auto found = outgoing_.find(daemon);
+  if (found == outgoing_.end()) {
+    return;
+  }
+  found->second.retry = context_.loop.After(kReconnectDelay, [this, daemon] {
+    if (outgoing_.contains(daemon)) {
+      Connect(daemon);
+    }
+  });
+  handlers_.on_lost(daemon);
+}
+
+bool PeerLinks::Send(const DaemonId& daemon, const PeerMessage& message) {
+  const auto found = outgoing_.find(daemon);
+  if (found == outgoing_.end() || !IsOpen(daemon)) {
+    return false;
+  }
+  found->second.connection->Send(EncodePeerMessage(message));
+  return true;
+}
+
+bool PeerLinks::IsOpen(const DaemonId& daemon) const {
+  const auto found = outgoing_.find(daemon);
+  return found != outgoing_.end() && found->second.connection != nullptr &&
+         found->second.connection->open();
+}
+
+void PeerLinks::Heartbeat(const PeerStatus& status) {
+  const std::string payload = EncodePeerMessage(status);
+  const MonotonicTime now = context_.loop.Now();
+  std::vector<DaemonId> silent;
+  for (const auto& [id, link] : outgoing_) {
+    if (!IsOpen(id)) {
+      continue;
+    }
+    const auto heard = heard_.find(id);
+    const MonotonicTime last =
+        std::max(link.opened_at, heard == heard_.end() ? MonotonicTime() : heard->second.at);
+    if (now - last > kPeerSilence) {
+      silent.push_back(id);
+      continue;
+    }
+    link.connection->Send(payload);
+  }
+  for (const DaemonId& id : silent) {
+    context_.events.Write("peer_silent", {{"peer", id.value()}});
+    outgoing_.at(id).connection->Close();
+  }
+}
+
+std::vector<Member> PeerLinks::ReadyMembers() const {
+  std::vector<Member> ready;
+  const MonotonicTime now = context_.loop.Now();
+  for (const auto& [id, heard] : heard_) {
+    if (heard.ready && now - heard.at <= kPeerSilence) {
+      ready.push_back(heard.member);
+    }
+  }
+  return ready;
+}
+
+std::vector<DaemonId> PeerLinks::OpenPeers() const {
+  std::vector<DaemonId> open;
+  for (const auto& [id, link] : outgoing_) {
+    if (IsOpen(id)) {
+      open.push_back(id);
+    }
+  }
+  return open;
+}
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/peer_links.h
@@ -0,0 +1,87 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_PEER_LINKS_H_
+#define ACACIASPRING_SRC_GATEWAY_PEER_LINKS_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "src/gateway/context.h"
+#include "src/gateway/peer_messages.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief Sends to the daemon that a message came from; ignored once its connection is gone.
+using PeerReply = std::function<void(const PeerMessage&)>;
+
+struct PeerHandlers {
+  std::function<void(const DaemonId&, const PeerStatus&)> on_status = {};
+  /// Any other message.
+  std::function<void(const DaemonId&, PeerMessage, const PeerReply&)> on_message = {};
+  /// The connection to the daemon opened or was lost; what was sent on a lost one may have arrived.
+  std::function<void(const DaemonId&)> on_open = {};
+  std::function<void(const DaemonId&)> on_lost = {};
+  /// A daemon that asked for turns is gone.
+  std::function<void(const DaemonId&)> on_asker_lost = {};
+};
+
+/// @brief One connection to each other daemon for what this one asks, and the accepted ones for
+/// what it answers.
+class PeerLinks {
+ public:
+  PeerLinks(Context& context, std::string cluster_key, PeerHandlers handlers);
+  PeerLinks(const PeerLinks&) = delete;
+  PeerLinks& operator=(const PeerLinks&) = delete;
+  ~PeerLinks();
+
+  void SetMembers(const std::vector<Member>& members);
+  /// @brief False if there is no open connection.
+  bool Send(const DaemonId& daemon, const PeerMessage& message);
+  bool IsOpen(const DaemonId& daemon) const;
+  /// @brief Sends a status to all and drops daemons that have been silent.
+  void Heartbeat(const PeerStatus& status);
+  /// @brief Daemons whose last status is recent and says that they are ready.
+  std::vector<Member> ReadyMembers() const;
+  /// @brief Daemons with an open connection.
+  std::vector<DaemonId> OpenPeers() const;
+
+ private:
+  struct Outgoing {
+    Member member;
+    net::PeerConnectionPtr connection;
+    net::Timer retry;
+    MonotonicTime opened_at;
+  };
+  struct Incoming {
+    net::PeerConnectionPtr connection;
+    std::optional<Member> member = {};
+  };
+  struct Heard {
+    Member member;
+    bool ready = false;
+    MonotonicTime at;
+  };
+
+  net::PeerCallbacks Accept(net::PeerConnectionPtr connection);
+  void Connect(const DaemonId& daemon);
+  void OnOutgoingClosed(const DaemonId& daemon);
+  void OnIncoming(const std::shared_ptr<Incoming>& incoming, std::string_view payload);
+  void OnOutgoingMessage(const DaemonId& daemon, std::string_view payload);
+  std::optional<PeerMessage> Decode(std::string_view payload);
+
+  Context& context_;
+  std::string cluster_key_;
+  PeerHandlers handlers_;
+  net::DropCounters drops_;
+  std::unordered_map<DaemonId, Outgoing> outgoing_;
+  std::map<Incoming*, std::shared_ptr<Incoming>> incoming_;
+  std::unordered_map<DaemonId, Heard> heard_;
+  std::unique_ptr<net::PeerListener> listener_;
+};
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_PEER_LINKS_H_
--- /dev/null
+++ b/src/gateway/route_table.h
@@ -0,0 +1,31 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_ROUTE_TABLE_H_
+#define ACACIASPRING_SRC_GATEWAY_ROUTE_TABLE_H_
+
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "acaciaspring/gateway.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief Finds the route and the service of a request.
+class RouteTable {
+ public:
+  explicit RouteTable(const std::vector<Route>& routes);
+
+  /// @brief The route of the host with the longest prefix of the path; null if there is none. The
+  /// host may carry a port.
+  const Route* Find(std::string_view host, std::string_view path) const;
+
+ private:
+  /// By host, longest prefix first.
+  std::unordered_map<std::string, std::vector<Route>> by_host_;
+};
+
+/// @brief Picks a service of the route by weight; equal keys give equal services.
+const ServiceId& ChooseService(const Route& route, std::string_view key);
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_ROUTE_TABLE_H_
--- /dev/null
+++ b/src/gateway/turn_router.h
@@ -0,0 +1,88 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_TURN_ROUTER_H_
+#define ACACIASPRING_SRC_GATEWAY_TURN_ROUTER_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+#include "src/gateway/chain_search.h"
+#include "src/gateway/ownership.h"
+#include "src/gateway/peer_links.h"
+#include "src/gateway/turn_run.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief Takes each turn to the owner of its program, here or at another daemon, and runs the
+/// turns of the own partitions.
+class TurnRouter {
+ public:
+  TurnRouter(Context& context, Ownership& ownership, std::function<PeerLinks*()> links);
+
+  /// @brief Returns the id by which the turn can be cancelled.
+  ExchangeId Submit(TurnRequest request, AnswerSinkPtr sink);
+  void Cancel(ExchangeId id);
+
+  /// @brief Sends turns that wait for an owner.
+  void Retry();
+  void OnMessage(const DaemonId& daemon, PeerMessage message, const PeerReply& reply);
+  void OnPeerLost(const DaemonId& daemon);
+  void OnAskerLost(const DaemonId& daemon);
+  /// @brief Turns that run at this daemon as the owner.
+  std::size_t running() const { return runs_.size(); }
+  /// @brief Turns of own callers that have not ended, and turns that run here.
+  std::size_t open_turns() const { return submitted_.size() + runs_.size(); }
+
+ private:
+  enum class State : std::uint8_t { kWaiting, kRemote, kLocal };
+  struct Submitted {
+    TurnRequest request;
+    AnswerSinkPtr sink;
+    State state = State::kWaiting;
+    DaemonId owner;
+    bool begun = false;
+    /// The time for which the turn may wait for an owner has begun.
+    bool held = false;
+    MonotonicTime deadline;
+    net::Timer hold_timer;
+    net::Timer deadline_timer;
+    std::shared_ptr<TurnRun> run;
+  };
+  struct AskedTurn {
+    DaemonId asker;
+    ExchangeId exchange;
+    auto operator<=>(const AskedTurn&) const = default;
+  };
+
+  void Dispatch(ExchangeId id);
+  void RunHere(ExchangeId id, std::shared_ptr<ledger::Partition> partition);
+  void HoldFor(ExchangeId id);
+  void OnDeadline(ExchangeId id);
+  void EndWith(ExchangeId id, const Refusal& refusal);
+  void OnAsked(const DaemonId& daemon, TurnRequest request, const PeerReply& reply);
+  void StartRun(const std::shared_ptr<TurnRun>& run);
+  std::shared_ptr<TurnRun> MakeRun(std::shared_ptr<ledger::Partition> partition,
+                                   TurnRequest request,
+                                   AnswerSinkPtr sink,
+                                   std::function<void()> on_ended);
+  TurnServices MakeServices();
+  ledger::PartitionId PartitionFor(const TurnRequest& request) const;
+  Submitted* Find(ExchangeId id, const DaemonId& owner);
+
+  Context& context_;
+  Ownership& ownership_;
+  std::function<PeerLinks*()> links_;
+  ChainSearch chain_search_;
+  std::unordered_map<ExchangeId, Submitted> submitted_;
+  std::map<AskedTurn, std::weak_ptr<TurnRun>> asked_;
+  std::set<std::shared_ptr<TurnRun>> runs_;
+  ExchangeId last_id_;
+  /// Endpoint of the last turn by session and by program.
+  std::unordered_map<std::string, EndpointId> last_endpoint_;
+};
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_TURN_ROUTER_H_
--- /dev/null
+++ b/src/gateway/turn_run.cc
@@ -0,0 +1,341 @@
+#include "src/gateway/turn_run.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+// Bound for one event of a stream; real ones have some hundred bytes.
+constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
+// A partition moves within about this time.
+constexpr Duration kOwnerRetryAfter = std::chrono::milliseconds(300);
+
+}  // namespace
+
+TurnRun::TurnRun(Context& context,
+                 std::shared_ptr<ledger::Partition> partition,
+                 TurnRequest request,
+                 TurnServices services,
+                 AnswerSinkPtr sink,
+                 std::function<void()> on_ended)
+    : context_(context),
+      partition_(std::move(partition)),
+      request_(std::move(request)),
+      services_(std::move(services)),
+      sink_(std::move(sink)),
+      on_ended_(std::move(on_ended)),
+      started_at_(context.loop.Now()),
+      deadline_(started_at_ + Duration(request_.left_us)),
+      parser_(kMaxEventBytes) {}
+
+void TurnRun::Start() {
+  deadline_timer_ = context_.loop.After(Duration(request_.left_us), [this] { OnDeadline(); });
+  const ledger::TurnId& previous = request_.program.previous_turn;
+  if (!request_.retained || previous.empty()) {
+    Admit();
+    return;
+  }
+  if (const auto chain = partition_->ledger().Chain(previous)) {
+    TakeChain(*chain);
+    Admit();
+    return;
+  }
+  SearchChain();
+}
+
+void TurnRun::TakeChain(const std::vector<const ledger::Turn*>& chain) {
+  for (const ledger::Turn* turn : chain) {
+    chain_body_ += turn->input;
+    chain_body_ += turn->output;
+  }
+}
+
+void TurnRun::SearchChain() {
+  services_.find_chain(
+      request_.program.previous_turn, [weak = weak_from_this()](const ChainSearchResult& result) {
+        const auto self = weak.lock();
+        if (!self || self->ended_) {
+          return;
+        }
+        std::visit(Overloaded{[&](const ChainFound& found) {
+                                self->imported_ = found.turns;
+                                std::vector<const ledger::Turn*> chain;
+                                for (const ledger::Turn& turn : self->imported_) {
+                                  chain.push_back(&turn);
+                                }
+                                self->TakeChain(chain);
+                                self->Admit();
+                              },
+                              [&](const ChainUnknown&) {
+                                self->Refuse({.status = 404, .reason = "unknown_turn"});
+                              },
+                              [&](const ChainUncertain&) {
+                                self->Refuse({.status = 503,
+                                              .reason = "turn_search_incomplete",
+                                              .retry_after = kOwnerRetryAfter});
+                              }},
+                   result);
+      });
+}
+
+void TurnRun::Admit() {
+  if (!request_.program.budget) {
+    admitted_ = true;
+    reserved_ = true;
+    Call();
+    return;
+  }
+  const ledger::Admission admission =
+      partition_->ledger().Admit({.program = request_.program.program,
+                                  .budget = *request_.program.budget,
+                                  .maximum = request_.program.max_output},
+                                 context_.loop.Now());
+  if (const auto* spent = std::get_if<ledger::BudgetSpent>(&admission)) {
+    context_.events.Write("budget_spent",
+                          {{"id", request_.id.value()},
+                           {"program", request_.program.program.value()},
+                           {"budget", static_cast<std::int64_t>(request_.program.budget->value())},
+                           {"spent", static_cast<std::int64_t>(spent->spent.value())},
+                           {"in_flight", static_cast<std::int64_t>(spent->in_flight.value())},
+                           {"epoch", static_cast<std::int64_t>(partition_->epoch().value())}});
+    Refuse({.status = 402, .reason = "budget_spent"});
+    return;
+  }
+  admitted_ = true;
+  if (const auto* needed = std::get_if<ledger::SpendNeedsRecord>(&admission)) {
+    partition_->Append({.spend = needed->spend}, [weak = weak_from_this()](bool durable) {
+      if (const auto self = weak.lock()) {
+        self->OnReserved(durable);
+      }
+    });
+  } else {
+    reserved_ = true;
+  }
+  if (!ended_) {
+    Call();
+  }
+}
+
+void TurnRun::Call() {
+  CallPlan plan{.id = request_.id,
+                .service = request_.service,
+                .kind = request_.kind,
+                .priority = request_.priority,
+                .max_attempts = request_.max_attempts,
+                .method = request_.method,
+                .target = request_.target,
+                .headers = request_.headers,
+                .body = chain_body_ + request_.body,
+                .deadline = deadline_,
+                .preferred = services_.preferred_endpoint(request_.program)};
+  chain_body_.clear();
+  call_ = std::make_shared<EndpointCall>(
+      context_, std::move(plan),
+      CallEvents{
+          .on_head = [this](int status, const net::Headers& headers) { OnHead(status, headers); },
+          .on_data = [this](std::string_view data) { OnData(data); },
+          .on_done =
+              [this](const Outcome& outcome) {
+                const auto self = shared_from_this();
+                OnCallDone(outcome);
+              }});
+  call_->Start();
+}
+
+void TurnRun::OnReserved(bool durable) {
+  if (ended_) {
+    return;
+  }
+  if (!durable) {
+    if (call_ != nullptr) {
+      call_->Cancel();
+    }
+    EndWithout({.status = 502, .reason = "owner_changed"});
+    return;
+  }
+  reserved_ = true;
+  if (held_head_) {
+    const auto head = *std::exchange(held_head_, std::nullopt);
+    begun_ = true;
+    sink_->Head(head.first, head.second);
+  }
+  if (!held_.empty()) {
+    const std::string held = std::exchange(held_, {});
+    sink_->Data(held);
+  }
+  if (call_outcome_) {
+    OnCallDone(*call_outcome_);
+  }
+}
+
+void TurnRun::OnHead(int status, const net::Headers& headers) {
+  status_ = status;
+  if (!reserved_) {
+    held_head_ = {status, headers};
+    return;
+  }
+  begun_ = true;
+  sink_->Head(status, headers);
+}
+
+void TurnRun::OnData(std::string_view data) {
+  if (first_event_at_ == MonotonicTime()) {
+    first_event_at_ = context_.loop.Now();
+  }
+  // A piece of an event that breaks off counts as a whole one.
+  partial_event_ = data.ends_with("\n\n") ? 0 : 1;
+  for (const net::SseEvent& event : parser_.Feed(data)) {
+    ++events_passed_;
+    if (request_.retained) {
+      output_ += event.data;
+      output_ += '\n';
+    }
+  }
+  Pass(data);
+}
+
+void TurnRun::Pass(std::string_view data) {
+  if (reserved_) {
+    sink_->Data(data);
+  } else {
+    held_.append(data);
+  }
+}
+
+void TurnRun::OnCallDone(const Outcome& outcome) {
+  if (ended_) {
+    return;
+  }
+  if (!std::holds_alternative<Completed>(outcome)) {
+    EndWithout(RefusalFor(outcome));
+    return;
+  }
+  if (!reserved_) {
+    // The end waits for the reservation as the events do.
+    call_outcome_ = outcome;
+    return;
+  }
+  services_.remember_endpoint(request_.program, call_->endpoint());
+  Complete();
+}
+
+void TurnRun::Complete() {
+  partial_event_ = 0;
+  if (!request_.retained || status_ != 200) {
+    Settle();
+    sink_->End();
+    Ended("completed");
+    return;
+  }
+  RecordTurn();
+}
+
+void TurnRun::RecordTurn() {
+  for (ledger::Turn& turn : imported_) {
+    partition_->Append({.turn = std::move(turn)}, [](bool) {});
+  }
+  imported_.clear();
+  ledger::Record record;
+  const TokenCount used(events_passed_ * request_.tokens_per_event.value());
+  if (request_.program.budget) {
+    record.spend = partition_->ledger().SpendAtEnd(request_.program.program,
+                                                   request_.program.max_output, used);
+  }
+  record.turn = ledger::Turn{.id = ledger::TurnId(request_.id.value()),
+                             .parent = request_.program.previous_turn,
+                             .input = std::move(request_.body),
+                             .output = std::move(output_),
+                             .recorded_at = net::Loop::WallNow(),
+                             .retention = Duration(request_.retention_us)};
+  Settle();
+  const auto self = shared_from_this();
+  partition_->Append(record, [weak = weak_from_this()](bool durable) {
+    const auto live = weak.lock();
+    if (!live || live->ended_) {
+      return;
+    }
+    if (durable) {
+      live->sink_->End();
+      live->Ended("completed");
+    } else {
+      live->EndWithout({.status = 502, .reason = "owner_changed"});
+    }
+  });
+}
+
+void TurnRun::Settle() {
+  if (!admitted_) {
+    return;
+  }
+  admitted_ = false;
+  if (request_.program.budget) {
+    const TokenCount used((events_passed_ + partial_event_) * request_.tokens_per_event.value());
+    partition_->ledger().Settle(request_.program.program, request_.program.max_output, used);
+  }
+}
+
+void TurnRun::OnDeadline() {
+  const auto self = shared_from_this();
+  if (ended_) {
+    return;
+  }
+  const bool sent = call_ != nullptr;
+  if (sent) {
+    call_->Cancel();
+  }
+  EndWithout(sent ? RefusalFor(Unknown{.reason = UnknownReason::kTimeout})
+                  : RefusalFor(NotRun{.reason = NotRunReason::kDeadlineExceeded}));
+}
+
+void TurnRun::Refuse(const Refusal& refusal) {
+  EndWithout(refusal);
+}
+
+void TurnRun::EndWithout(const Refusal& refusal) {
+  const auto self = shared_from_this();
+  Settle();
+  Fail(*sink_, begun_, refusal);
+  Ended(refusal.reason);
+}
+
+void TurnRun::Cancel() {
+  if (ended_) {
+    return;
+  }
+  if (call_ != nullptr) {
+    call_->Cancel();
+  }
+  Settle();
+  Ended("caller_gone");
+}
+
+void TurnRun::Ended(std::string_view outcome) {
+  const auto self = shared_from_this();
+  ended_ = true;
+  deadline_timer_.Cancel();
+  const MonotonicTime now = context_.loop.Now();
+  const auto ms = [&](MonotonicTime at) {
+    return at == MonotonicTime()
+               ? std::int64_t{-1}
+               : std::chrono::duration_cast<std::chrono::milliseconds>(at - started_at_).count();
+  };
+  context_.events.Write("turn",
+                        {{"id", request_.id.value()},
+                         {"program", request_.program.program.value()},
+                         {"partition", static_cast<std::int64_t>(partition_->id().value())},
+                         {"epoch", static_cast<std::int64_t>(partition_->epoch().value())},
+                         {"endpoint", call_ == nullptr ? std::string() : call_->endpoint().value()},
+                         {"status", static_cast<std::int64_t>(status_)},
+                         {"outcome", std::string(outcome)},
+                         {"first_event_ms", ms(first_event_at_)},
+                         {"total_ms", ms(now)},
+                         {"deadline_ms", request_.left_us / 1000},
+                         {"events", static_cast<std::int64_t>(events_passed_)}});
+  if (const auto on_ended = std::exchange(on_ended_, nullptr)) {
+    on_ended();
+  }
+}
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/turn_run.h
@@ -0,0 +1,95 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_TURN_RUN_H_
+#define ACACIASPRING_SRC_GATEWAY_TURN_RUN_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/gateway/answer_sink.h"
+#include "src/gateway/endpoint_call.h"
+#include "src/gateway/peer_messages.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief What a search for a turn in all partitions found.
+struct ChainFound {
+  std::vector<ledger::Turn> turns;
+};
+struct ChainUnknown {};
+/// @brief A partition could not be searched.
+struct ChainUncertain {};
+using ChainSearchResult = std::variant<ChainFound, ChainUnknown, ChainUncertain>;
+
+/// @brief What a turn needs from the daemon that runs it.
+struct TurnServices {
+  std::function<void(const ledger::TurnId&, std::function<void(const ChainSearchResult&)>)>
+      find_chain = {};
+  std::function<EndpointId(const ProgramContext&)> preferred_endpoint = {};
+  std::function<void(const ProgramContext&, const EndpointId&)> remember_endpoint = {};
+};
+
+/// @brief One turn at the owner of its program: budget, chain, endpoint call and durable end.
+class TurnRun : public std::enable_shared_from_this<TurnRun> {
+ public:
+  TurnRun(Context& context,
+          std::shared_ptr<ledger::Partition> partition,
+          TurnRequest request,
+          TurnServices services,
+          AnswerSinkPtr sink,
+          std::function<void()> on_ended);
+
+  void Start();
+  /// @brief The caller is gone.
+  void Cancel();
+
+ private:
+  void TakeChain(const std::vector<const ledger::Turn*>& chain);
+  void SearchChain();
+  void Admit();
+  void Call();
+  void OnReserved(bool durable);
+  void OnHead(int status, const net::Headers& headers);
+  void OnData(std::string_view data);
+  void OnCallDone(const Outcome& outcome);
+  void Pass(std::string_view data);
+  void Complete();
+  void RecordTurn();
+  void OnDeadline();
+  void Settle();
+  void Refuse(const Refusal& refusal);
+  void EndWithout(const Refusal& refusal);
+  void Ended(std::string_view outcome);
+
+  Context& context_;
+  std::shared_ptr<ledger::Partition> partition_;
+  TurnRequest request_;
+  TurnServices services_;
+  AnswerSinkPtr sink_;
+  std::function<void()> on_ended_;
+  MonotonicTime started_at_;
+  MonotonicTime first_event_at_;
+  MonotonicTime deadline_;
+  net::Timer deadline_timer_;
+  std::shared_ptr<EndpointCall> call_;
+  std::string chain_body_;
+  /// Turns of another partition, to be recorded with this one.
+  std::vector<ledger::Turn> imported_;
+  net::SseParser parser_;
+  std::string output_;
+  std::string held_;
+  std::optional<std::pair<int, net::Headers>> held_head_;
+  std::optional<Outcome> call_outcome_;
+  std::uint64_t events_passed_ = 0;
+  std::uint64_t partial_event_ = 0;
+  int status_ = 0;
+  bool admitted_ = false;
+  bool reserved_ = false;
+  bool begun_ = false;
+  bool ended_ = false;
+};
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_TURN_RUN_H_
--- /dev/null
+++ b/src/ledger/partition.cc
@@ -0,0 +1,255 @@
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "acaciaspring/ledger.h"
+
+namespace acaciaspring::ledger {
+
+Partition::Partition(PartitionId id,
+                     OwnerEpoch epoch,
+                     PartitionStore& store,
+                     PartitionOptions options,
+                     OnStateChanged on_state_changed)
+    : id_(id),
+      epoch_(epoch),
+      store_(store),
+      options_(options),
+      on_state_changed_(std::move(on_state_changed)),
+      ledger_(options.ledger),
+      retry_delay_(options.retry_delay) {}
+
+void Partition::Start() {
+  Fence();
+}
+
+void Partition::SetState(State state) {
+  state_ = state;
+  on_state_changed_(*this);
+}
+
+void Partition::RetryLater(void (Partition::*operation)()) {
+  store_.After(retry_delay_, [weak = weak_from_this(), operation] {
+    if (const auto self = weak.lock(); self && self->state_ != State::kLost) {
+      (*self.*operation)();
+    }
+  });
+  retry_delay_ = std::min(retry_delay_ * 2, options_.max_retry_delay);
+}
+
+void Partition::Fence() {
+  store_.Append(id_, epoch_, sequence_, {}, [weak = weak_from_this()](const AppendResult& result) {
+    const auto self = weak.lock();
+    if (!self || self->state_ == State::kLost) {
+      return;
+    }
+    if (std::holds_alternative<Appended>(result)) {
+      self->retry_delay_ = self->options_.retry_delay;
+      self->SetState(State::kLoading);
+      self->Load();
+    } else if (std::holds_alternative<Fenced>(result)) {
+      self->Lose();
+    } else {
+      // A mismatch of the sequence means that this epoch is in use already; the records say the
+      // rest, and the first append learns the expected sequence.
+      if (std::holds_alternative<SequenceMismatch>(result)) {
+        self->sequence_ = std::get<SequenceMismatch>(result).expected;
+        self->SetState(State::kLoading);
+        self->Load();
+        return;
+      }
+      self->RetryLater(&Partition::Fence);
+    }
+  });
+}
+
+void Partition::Load() {
+  store_.Read(id_, next_offset_, [weak = weak_from_this()](const ReadResult& result) {
+    const auto self = weak.lock();
+    if (self && self->state_ == State::kLoading) {
+      self->OnRead(result);
+    }
+  });
+}
+
+void Partition::OnRead(const ReadResult& result) {
+  if (std::holds_alternative<StoreUnavailable>(result)) {
+    RetryLater(&Partition::Load);
+    return;
+  }
+  if (const auto* dropped = std::get_if<HistoryDropped>(&result)) {
+    next_offset_ = std::max(dropped->oldest, next_offset_);
+    RetryLater(&Partition::Load);
+    return;
+  }
+  const auto& read = std::get<ReadPieces>(result);
+  retry_delay_ = options_.retry_delay;
+  next_offset_ = read.first;
+  for (const std::string& piece : read.pieces) {
+    try {
+      if (const auto record = reader_.Take(piece)) {
+        ledger_.Apply(*record, next_offset_, store_.Now());
+      }
+    } catch (const RecordError& error) {
+      LOG(WARNING) << "partition " << id_ << " offset " << next_offset_ << ": " << error.what();
+    }
+    ++next_offset_;
+  }
+  if (next_offset_ < read.end) {
+    Load();
+    return;
+  }
+  ledger_.FinishLoading();
+  checkpoints_.push_back({.offset = next_offset_, .at = store_.Now()});
+  SetState(State::kServing);
+  Flush();
+}
+
+void Partition::Append(const Record& record, std::function<void(bool)> on_done) {
+  if (state_ == State::kLost) {
+    on_done(false);
+    return;
+  }
+  queue_.push_back({.record = record,
+                    .pieces = EncodeRecord(record, options_.piece_bytes),
+                    .on_done = std::move(on_done),
+                    .queued_at = store_.Now()});
+  Flush();
+}
+
+void Partition::Flush() {
+  if (state_ != State::kServing || !batch_.empty() || queue_.empty()) {
+    return;
+  }
+  std::size_t bytes = 0;
+  while (!queue_.empty()) {
+    std::size_t size = 0;
+    for (const std::string& piece : queue_.front().pieces) {
+      size += piece.size();
+    }
+    if (!batch_.empty() && bytes + size > options_.append_bytes) {
+      break;
+    }
+    bytes += size;
+    batch_.push_back(std::move(queue_.front()));
+    queue_.pop_front();
+  }
+  SendBatch();
+}
+
+void Partition::SendBatch() {
+  std::vector<std::string> pieces;
+  for (const Waiting& waiting : batch_) {
+    pieces.insert(pieces.end(), waiting.pieces.begin(), waiting.pieces.end());
+  }
+  store_.Append(id_, epoch_, sequence_, std::move(pieces),
+                [weak = weak_from_this()](const AppendResult& result) {
+                  const auto self = weak.lock();
+                  if (self && self->state_ == State::kServing) {
+                    self->OnAppended(result);
+                  }
+                });
+}
+
+void Partition::OnAppended(const AppendResult& result) {
+  if (const auto* appended = std::get_if<Appended>(&result)) {
+    retry_delay_ = options_.retry_delay;
+    ++sequence_;
+    FinishBatch(appended->end);
+  } else if (const auto* mismatch = std::get_if<SequenceMismatch>(&result)) {
+    // Nothing of this batch was appended: a repeat of an append gets its first result.
+    LOG(WARNING) << "partition " << id_ << " epoch " << epoch_ << ": the store expects append "
+                 << mismatch->expected << ", not " << sequence_;
+    sequence_ = mismatch->expected;
+    RetryLater(&Partition::SendBatch);
+  } else if (std::holds_alternative<Fenced>(result)) {
+    Lose();
+  } else {
+    RetryLater(&Partition::SendBatch);
+  }
+}
+
+void Partition::FinishBatch(RecordOffset end) {
+  const auto self = shared_from_this();
+  const std::vector<Waiting> done = std::exchange(batch_, {});
+  std::size_t pieces = 0;
+  for (const Waiting& waiting : done) {
+    pieces += waiting.pieces.size();
+  }
+  RecordOffset offset(end.value() - std::min<std::uint64_t>(end.value(), pieces));
+  for (const Waiting& waiting : done) {
+    ledger_.Apply(waiting.record, offset, store_.Now());
+    offset += RecordOffset(waiting.pieces.size());
+  }
+  next_offset_ = end;
+  for (const Waiting& waiting : done) {
+    waiting.on_done(true);
+  }
+  Flush();
+}
+
+void Partition::Lose() {
+  const auto self = shared_from_this();
+  SetState(State::kLost);
+  const std::vector<Waiting> batch = std::exchange(batch_, {});
+  const std::deque<Waiting> queue = std::exchange(queue_, {});
+  for (const Waiting& waiting : batch) {
+    waiting.on_done(false);
+  }
+  for (const Waiting& waiting : queue) {
+    waiting.on_done(false);
+  }
+}
+
+void Partition::Confirm(std::function<void(bool)> on_done) {
+  store_.Append(
+      id_, epoch_, sequence_, {},
+      [weak = weak_from_this(), on_done = std::move(on_done)](const AppendResult& result) {
+        const auto self = weak.lock();
+        if (self && std::holds_alternative<Fenced>(result)) {
+          self->Release();
+        }
+        on_done(self && self->state_ == State::kServing &&
+                std::holds_alternative<Appended>(result));
+      });
+}
+
+void Partition::Release() {
+  if (state_ != State::kLost) {
+    Lose();
+  }
+}
+
+void Partition::Maintain() {
+  if (state_ != State::kServing) {
+    return;
+  }
+  const MonotonicTime now = store_.Now();
+  ledger_.Expire(store_.WallNow(), now);
+  checkpoints_.push_back({.offset = next_offset_, .at = now});
+  std::optional<RecordOffset> old;
+  while (!checkpoints_.empty() && now - checkpoints_.front().at > options_.rewrite_age) {
+    old = checkpoints_.front().offset;
+    checkpoints_.pop_front();
+  }
+  if (old) {
+    for (const Record& record : ledger_.LiveRecordsBefore(*old)) {
+      Append(record, [](bool) {});
+    }
+  }
+  store_.Trim(id_, ledger_.OldestNeeded().value_or(next_offset_));
+}
+
+Duration Partition::append_delay() const {
+  const MonotonicTime* oldest = nullptr;
+  if (!batch_.empty()) {
+    oldest = &batch_.front().queued_at;
+  } else if (!queue_.empty()) {
+    oldest = &queue_.front().queued_at;
+  }
+  return oldest == nullptr ? Duration(0)
+                           : std::chrono::duration_cast<Duration>(store_.Now() - *oldest);
+}
+
+}  // namespace acaciaspring::ledger
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <cerrno>
+#include <charconv>
 #include <utility>
 
 #include "src/net/http_message.h"
@@ -66,20 +67,13 @@
   }
 }
 
-void HttpConnection::Send(std::string head, std::string body, bool expects_body) {
-  head_ = std::move(head);
-  body_ = std::move(body);
-  expects_body_ = expects_body;
+void HttpConnection::Send(Outgoing outgoing) {
+  outgoing_ = std::move(outgoing);
   in_exchange_ = true;
-  complete_ = false;
-  http_parser_init(&parser_, HTTP_RESPONSE);
-  parser_.data = this;
-  headers_.clear();
-  header_name_.clear();
-  header_value_.clear();
+  StartParser();
   const std::array<uv_buf_t, 2> buffers = {
-      uv_buf_init(head_.data(), static_cast<unsigned>(head_.size())),
-      uv_buf_init(body_.data(), static_cast<unsigned>(body_.size()))};
+      uv_buf_init(outgoing_.head.data(), static_cast<unsigned>(outgoing_.head.size())),
+      uv_buf_init(outgoing_.body.data(), static_cast<unsigned>(outgoing_.body.size()))};
   write_.data = this;
   writing_ = true;
   // After a failed write the answer may still be there to read: a server can refuse a request
@@ -87,17 +81,31 @@
   const auto on_written = [](uv_write_t* request, int) {
     static_cast<HttpConnection*>(request->data)->writing_ = false;
   };
-  if (uv_write(&write_, stream(), buffers.data(), body_.empty() ? 1 : 2, on_written) != 0) {
+  if (uv_write(&write_, stream(), buffers.data(), outgoing_.body.empty() ? 1 : 2, on_written) !=
+      0) {
     writing_ = false;
     Break();
   }
 }
 
+void HttpConnection::StartParser() {
+  complete_ = false;
+  foreign_ = false;
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  headers_.clear();
+  header_name_.clear();
+  header_value_.clear();
+}
+
 void HttpConnection::OnRead(ssize_t size, const uv_buf_t* buffer) {
   const auto self = shared_from_this();
   if (size == 0) {
     return;
   }
+  if (size == UV_EOF && in_exchange_ && EndUnframed()) {
+    return;
+  }
   if (size < 0 || !in_exchange_) {
     Break();
     return;
@@ -108,26 +116,50 @@
   Parse(std::string_view(buffer->base, static_cast<std::size_t>(size)));
 }
 
-void HttpConnection::Parse(std::string_view data) {
-  const std::size_t parsed =
-      http_parser_execute(&parser_, &ParserSettings(), data.data(), data.size());
-  if (closed_) {
-    return;
+bool HttpConnection::EndUnframed() {
+  // The parser completes an answer at the end of the connection only if it had no length.
+  if (!outgoing_.accept_unframed || foreign_ ||
+      http_parser_execute(&parser_, &ParserSettings(), nullptr, 0) != 0 || !complete_) {
+    return false;
   }
-  if (complete_) {
-    in_exchange_ = false;
-    const bool reusable = keep_alive_ && parsed == data.size() && !writing_;
-    Events* const events = std::exchange(events_, nullptr);
-    if (!reusable) {
-      Close();
+  FinishAnswer(/*reusable=*/false);
+  return true;
+}
+
+void HttpConnection::Parse(std::string_view data) {
+  while (!data.empty()) {
+    const std::size_t parsed =
+        http_parser_execute(&parser_, &ParserSettings(), data.data(), data.size());
+    if (closed_) {
+      return;
     }
-    if (events != nullptr) {
-      events->OnComplete(reusable);
+    if (!complete_) {
+      if (parsed != data.size() || parser_.upgrade != 0U || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+        Break();
+      }
+      return;
     }
-    return;
+    data.remove_prefix(parsed);
+    if (!foreign_) {
+      FinishAnswer(keep_alive_ && data.empty() && !writing_);
+      return;
+    }
+    if (!keep_alive_) {
+      Break();
+      return;
+    }
+    StartParser();
   }
-  if (parsed != data.size() || parser_.upgrade != 0U || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
-    Break();
+}
+
+void HttpConnection::FinishAnswer(bool reusable) {
+  in_exchange_ = false;
+  Events* const events = std::exchange(events_, nullptr);
+  if (!reusable) {
+    Close();
+  }
+  if (events != nullptr) {
+    events->OnComplete(reusable);
   }
 }
 
@@ -176,17 +208,44 @@
     headers_.clear();
     return 0;
   }
+  foreign_ = IsForeign();
+  if (foreign_) {
+    return 0;
+  }
+  ReadKeepAlive();
   if (events_ != nullptr) {
     events_->OnHead(static_cast<int>(parser_.status_code), headers_);
   }
   if (closed_) {
     return kStop;
   }
-  return expects_body_ ? 0 : kNoBody;
+  return outgoing_.expects_body ? 0 : kNoBody;
+}
+
+bool HttpConnection::IsForeign() const {
+  if (outgoing_.echo_header.empty()) {
+    return false;
+  }
+  const std::string_view echo = FindHeader(headers_, outgoing_.echo_header);
+  return !echo.empty() && echo != outgoing_.echo_value;
+}
+
+void HttpConnection::ReadKeepAlive() {
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view value = FindHeader(headers_, "keep-alive");
+  const std::size_t found = value.find(kName);
+  if (found == std::string_view::npos) {
+    return;
+  }
+  const std::string_view digits = value.substr(found + kName.size());
+  std::uint32_t seconds = 0;
+  if (std::from_chars(digits.data(), digits.data() + digits.size(), seconds).ec == std::errc()) {
+    keep_alive_time_ = std::chrono::seconds(seconds);
+  }
 }
 
 int HttpConnection::OnBody(std::string_view data) {
-  if (events_ != nullptr) {
+  if (events_ != nullptr && !foreign_) {
     events_->OnData(data);
   }
   return closed_ ? 1 : 0;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -5,6 +5,7 @@
 #include <uv.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "acaciaspring/net.h"
@@ -37,11 +38,23 @@
   void Connect(const Address& server);
   /// @brief Null while no exchange uses the connection.
   void SetEvents(Events* events) { events_ = events; }
+  struct Outgoing {
+    std::string head;
+    std::string body;
+    /// The answer to a HEAD request has none.
+    bool expects_body = true;
+    /// See HttpClientRequest.
+    std::string echo_header;
+    std::string echo_value;
+    bool accept_unframed = false;
+  };
   /// @brief Hands the request to the socket.
-  void Send(std::string head, std::string body, bool expects_body);
+  void Send(Outgoing outgoing);
   void Close();
   /// @brief False when the server has closed the idle connection or sent surplus bytes.
   bool IsUsable();
+  /// @brief Time that the server keeps the idle connection, if it has said so.
+  std::optional<Duration> keep_alive_time() const { return keep_alive_time_; }
 
  private:
   static const http_parser_settings& ParserSettings();
@@ -49,6 +62,12 @@
   void OnRead(ssize_t size, const uv_buf_t* buffer);
   void Parse(std::string_view data);
   void Break();
+  /// @brief The server closed its side in order; true when this ends an unframed answer.
+  bool EndUnframed();
+  void StartParser();
+  bool IsForeign() const;
+  void ReadKeepAlive();
+  void FinishAnswer(bool reusable);
   void StoreHeader();
   int OnHeadersComplete();
   int OnBody(std::string_view data);
@@ -61,13 +80,14 @@
   uv_connect_t connect_{};
   uv_write_t write_{};
   /// The request, which libuv refers to until it is written.
-  std::string head_;
-  std::string body_;
+  Outgoing outgoing_;
   http_parser parser_{};
   Headers headers_;
   std::string header_name_;
   std::string header_value_;
-  bool expects_body_ = true;
+  std::optional<Duration> keep_alive_time_;
+  /// The answer being read belongs to an earlier request.
+  bool foreign_ = false;
   bool writing_ = false;
   bool in_exchange_ = false;
   bool keep_alive_ = false;
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -63,7 +63,7 @@
   }
   pool_ = pool;
   last_activity_ = loop_.Now();
-  ArmTimer(request_.io_timeout);
+  ArmTimer(std::min(request_.io_timeout, request_.connect_timeout));
   connection_ = pool->Take(request_.server);
   if (connection_ != nullptr) {
     connection_->SetEvents(this);
@@ -79,7 +79,12 @@
   last_activity_ = loop_.Now();
   sent_ = true;
   std::string head = MakeHead(request_);
-  connection_->Send(std::move(head), std::move(request_.body), request_.method != "HEAD");
+  connection_->Send({.head = std::move(head),
+                     .body = std::move(request_.body),
+                     .expects_body = request_.method != "HEAD",
+                     .echo_header = request_.echo_header,
+                     .echo_value = request_.echo_value,
+                     .accept_unframed = request_.accept_unframed});
 }
 
 void HttpExchange::OnReceived() {
@@ -139,8 +144,10 @@
 void HttpExchange::OnTimer() {
   // The timer is not restarted with each received byte; it finds out here how old the last is.
   const Duration silence = loop_.Now() - last_activity_;
-  if (silence < request_.io_timeout) {
-    ArmTimer(request_.io_timeout - silence);
+  const Duration limit =
+      sent_ ? request_.io_timeout : std::min(request_.io_timeout, request_.connect_timeout);
+  if (silence < limit) {
+    ArmTimer(limit - silence);
     return;
   }
   connection_->Close();
--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -1,5 +1,6 @@
 #include "src/net/http_pool.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciaspring::net {
@@ -47,11 +48,17 @@
     connection->Close();
     return;
   }
-  connections.push_back({.connection = std::move(connection), .since = loop_.Now()});
+  // Half of the server's own limit leaves time for a request that is on its way when it expires.
+  constexpr int kKeepAliveShare = 2;
+  const std::optional<Duration> announced = connection->keep_alive_time();
+  const Duration limit =
+      announced ? std::min(options_.pool_idle, *announced / kKeepAliveShare) : options_.pool_idle;
+  connections.push_back(
+      {.connection = std::move(connection), .since = loop_.Now(), .limit = limit});
 }
 
 bool HttpPool::IsExpired(const Idle& idle) const {
-  return loop_.Now() - idle.since >= options_.pool_idle;
+  return loop_.Now() - idle.since >= idle.limit;
 }
 
 void HttpPool::RemoveUnusable() {
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -27,6 +27,7 @@
   struct Idle {
     std::shared_ptr<HttpConnection> connection;
     MonotonicTime since;
+    Duration limit;
   };
 
   bool IsExpired(const Idle& idle) const;
--- a/src/net/http_responder.cc
+++ b/src/net/http_responder.cc
@@ -46,6 +46,12 @@
   Flush();
 }
 
+void H2oResponder::Abort() {
+  if (!closed()) {
+    Abandon();
+  }
+}
+
 void H2oResponder::Respond(int status, const Headers& headers, std::string_view body) {
   if (closed() || started_) {
     return;
--- a/src/net/http_responder.h
+++ b/src/net/http_responder.h
@@ -19,6 +19,7 @@
   void Start(int status, const Headers& headers) override;
   void Write(std::string_view data) override;
   void End() override;
+  void Abort() override;
   void Respond(int status, const Headers& headers, std::string_view body) override;
   std::size_t pending_bytes() const override;
   bool closed() const override;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -19,6 +19,10 @@
 // How soon an abandoned answer is noticed; one recv() per open request and period.
 constexpr Duration kConnectionCheckPeriod = std::chrono::milliseconds(250);
 
+std::uint64_t ToTimeoutMs(Duration timeout) {
+  return static_cast<std::uint64_t>(std::chrono::ceil<std::chrono::milliseconds>(timeout).count());
+}
+
 class ServerState;
 
 struct Handler {
@@ -35,6 +39,8 @@
 
   void Open();
   void StopAccepting();
+  void CloseAfterAnswers() { keep_alive_ = false; }
+  void SetLimits(std::size_t max_body_bytes, Duration io_timeout);
   void Close();
   std::size_t open_requests() const { return responders_.size(); }
   Address address() const { return address_; }
@@ -68,7 +74,7 @@
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::set<std::shared_ptr<H2oResponder>> responders_;
   Timer check_timer_;
-  bool accepting_ = true;
+  bool keep_alive_ = true;
   bool closing_ = false;
   bool disposing_ = false;
 };
@@ -91,14 +97,12 @@
 }
 
 void ServerState::Configure() {
-  const auto timeout_ms = static_cast<std::uint64_t>(
-      std::chrono::ceil<std::chrono::milliseconds>(options_.io_timeout).count());
   // h2o keeps large bodies in a temporary file unless they are below the threshold.
   h2o_socket_buffer_mmap_settings.threshold = SIZE_MAX;
   h2o_config_init(&config_);
   config_.server_name = ToIovec("acaciaspring");
   config_.max_request_entity_size = options_.max_body_bytes;
-  config_.http1.req_timeout = timeout_ms;
+  config_.http1.req_timeout = ToTimeoutMs(options_.io_timeout);
   config_.http1.upgrade_to_http2 = 0;
   h2o_hostconf_t* host = h2o_config_register_host(&config_, ToIovec("default"), 65535);
   h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
@@ -177,7 +181,7 @@
   });
   new (memory) RequestLink{.server = shared_from_this(), .responder = responder};
   responders_.insert(responder);
-  if (!accepting_) {
+  if (!keep_alive_) {
     request->http1_is_persistent = 0;
   }
   if (closing_) {
@@ -201,8 +205,17 @@
   }
 }
 
+void ServerState::SetLimits(std::size_t max_body_bytes, Duration io_timeout) {
+  options_.max_body_bytes = max_body_bytes;
+  options_.io_timeout = io_timeout;
+  config_.max_request_entity_size = max_body_bytes;
+  config_.http1.req_timeout = ToTimeoutMs(io_timeout);
+  // Connections refer to the timeout of the context, which was copied from the configuration.
+  context_.http1.req_timeout.timeout = config_.http1.req_timeout;
+}
+
 void ServerState::StopAccepting() {
-  accepting_ = false;
+  keep_alive_ = false;
   if (listener_ != nullptr) {
     CloseAndDelete(listener_.release());
   }
@@ -256,6 +269,14 @@
   impl_->state->StopAccepting();
 }
 
+void HttpServer::CloseAfterAnswers() {
+  impl_->state->CloseAfterAnswers();
+}
+
+void HttpServer::SetLimits(std::size_t max_body_bytes, Duration io_timeout) {
+  impl_->state->SetLimits(max_body_bytes, io_timeout);
+}
+
 std::size_t HttpServer::open_requests() const {
   return impl_->state->open_requests();
 }
--- a/src/endpoint/sse_parser.cc
+++ b/src/net/sse_parser.cc
@@ -1,9 +1,9 @@
-#include "src/endpoint/sse_parser.h"
+#include "acaciaspring/net.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace acaciaspring::endpoint {
+namespace acaciaspring::net {
 
 std::vector<SseEvent> SseParser::Feed(std::string_view piece) {
   std::vector<SseEvent> events;
@@ -60,4 +60,4 @@
   }
 }
 
-}  // namespace acaciaspring::endpoint
+}  // namespace acaciaspring::net
--- a/src/endpoint/sse_parser_test.cc
+++ b/src/net/sse_parser_test.cc
@@ -1,9 +1,9 @@
-#include "src/endpoint/sse_parser.h"
+#include "acaciaspring/net.h"
 
 #include <boost/test/unit_test.hpp>
 #include <random>
 
-namespace acaciaspring::endpoint {
+namespace acaciaspring::net {
 
 namespace {
 
@@ -87,4 +87,4 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
-}  // namespace acaciaspring::endpoint
+}  // namespace acaciaspring::net
