Record turns whose partition moves at the next owner; release partitions of ended processes

Cause: when the group deals partitions anew (here during rolling restarts), the former owner dropped them at once and broke off the turns that were running. Now it asks the next owner to record the turn (CommitRequest), a stopping daemon hands over without waiting for its turns, and a peer that is refused a connection takes the ended process out of the group.

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -179,8 +179,10 @@
   Gateway(const Gateway&) = delete;
   Gateway& operator=(const Gateway&) = delete;
 
-  /// @brief Starts to listen for other daemons; the key authenticates them.
-  void JoinCluster(const std::string& cluster_key);
+  /// @brief Starts to listen for other daemons; the key authenticates them. `on_member_gone` is
+  /// called when the process of another daemon has ended.
+  void JoinCluster(const std::string& cluster_key,
+                   std::function<void(const Member&)> on_member_gone);
   /// @brief Ignores a version that is not above the one in force.
   void SetConfiguration(Configuration configuration);
   /// @brief The whole register; endpoints that are not listed get no more requests.
--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -141,6 +141,8 @@
   void Settle(const ProgramId& program, TokenCount maximum, TokenCount used);
   /// @brief The spend to record with the end of a turn that is still admitted and used `used`.
   ProgramSpend SpendAtEnd(const ProgramId& program, TokenCount maximum, TokenCount used);
+  /// @brief Counts tokens that a turn of the former owner hands out; returns what to record.
+  ProgramSpend AddSpent(const ProgramId& program, TokenCount tokens, MonotonicTime now);
   /// @brief Exact spend of every idle program, to be recorded before a planned release.
   std::vector<ProgramSpend> ExactSpends() const;
 
--- /dev/null
+++ b/src/gateway/commit_relay.h
@@ -0,0 +1,53 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_COMMIT_RELAY_H_
+#define ACACIASPRING_SRC_GATEWAY_COMMIT_RELAY_H_
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "src/gateway/ownership.h"
+#include "src/gateway/peer_links.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief Records for turns whose partition moved while they ran, at whoever owns it now.
+class CommitRelay {
+ public:
+  CommitRelay(Context& context, Ownership& ownership, std::function<PeerLinks*()> links)
+      : context_(context), ownership_(ownership), links_(std::move(links)) {}
+
+  /// @brief `on_done` gets false when no owner has recorded it by the deadline.
+  void Commit(CommitRequest request, MonotonicTime deadline, std::function<void(bool)> on_done);
+  /// @brief Answers another daemon.
+  void Answer(const CommitRequest& request, const PeerReply& reply);
+  void OnReply(const CommitReply& reply);
+  /// @brief Sends again what has no owner yet; to be called when owners change.
+  void Retry();
+  void OnPeerLost(const DaemonId& daemon);
+
+ private:
+  struct Pending {
+    CommitRequest request;
+    std::function<void(bool)> on_done;
+    /// Empty while no owner is known.
+    DaemonId sent_to;
+    net::Timer timer;
+  };
+
+  void Dispatch(ExchangeId id);
+  void Record(const std::shared_ptr<ledger::Partition>& partition,
+              const CommitRequest& request,
+              std::function<void(bool)> on_done);
+  void Finish(ExchangeId id, bool durable);
+  ledger::PartitionId PartitionFor(const CommitRequest& request) const;
+
+  Context& context_;
+  Ownership& ownership_;
+  std::function<PeerLinks*()> links_;
+  std::unordered_map<ExchangeId, Pending> pending_;
+  ExchangeId last_id_;
+};
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_COMMIT_RELAY_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -21,7 +21,8 @@
 // Load of other daemons and owners of partitions are known this late at most.
 constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(200);
 constexpr Duration kMaintenancePeriod = std::chrono::seconds(5);
-constexpr Duration kDrainCheckPeriod = std::chrono::milliseconds(20);
+// Some appends; beyond it the store is away.
+constexpr Duration kHandOverTimeout = std::chrono::milliseconds(400);
 // With fewer entries in its own zone a caller also gets those of other zones.
 constexpr std::size_t kMinZoneEntries = 2;
 constexpr std::size_t kMaxEntries = 64;
@@ -42,7 +43,8 @@
         ownership(context, store, [this] { OnOwnershipChanged(); }),
         router(context, ownership, [this] { return links.get(); }) {}
 
-  void JoinCluster(const std::string& cluster_key);
+  void JoinCluster(const std::string& cluster_key,
+                   std::function<void(const Member&)> on_member_gone);
   void OnOwnershipChanged();
   void Heartbeat();
   void Handle(CallerRequest request, net::HttpResponderPtr responder);
@@ -50,7 +52,8 @@
   void HandleCall(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
   std::optional<Refusal> Check(const CallerRequest& request, const Route* route) const;
   Duration TimeFor(const CallerRequest& request, const Route& route) const;
-  void CheckDrained();
+  void HandOver();
+  void ReleasePartitions();
 
   Context context;
   std::optional<Configuration> configuration;
@@ -69,7 +72,8 @@
   bool endpoints_known = false;
 };
 
-void Gateway::Impl::JoinCluster(const std::string& cluster_key) {
+void Gateway::Impl::JoinCluster(const std::string& cluster_key,
+                                std::function<void(const Member&)> on_member_gone) {
   links = std::make_unique<PeerLinks>(
       context, cluster_key,
       PeerHandlers{
@@ -91,6 +95,7 @@
                 ownership.ForgetDaemon(daemon);
                 router.OnPeerLost(daemon);
               },
+          .on_gone = std::move(on_member_gone),
           .on_asker_lost = [this](const DaemonId& daemon) { router.OnAskerLost(daemon); }});
   links->SetMembers(members);
   heartbeat = context.loop.Every(kHeartbeatPeriod, [this] { Heartbeat(); });
@@ -219,21 +224,16 @@
   call->Start();
 }
 
-void Gateway::Impl::CheckDrained() {
-  if (router.running() > 0 || !on_drained) {
-    return;
-  }
+void Gateway::Impl::HandOver() {
   const auto served = ownership.ServedPartitions();
   const auto pending = std::make_shared<std::size_t>(1);
   const auto finish_one = [this, pending](bool) {
     if (--*pending == 0) {
-      ownership.ReleaseAll();
-      if (const auto done = std::exchange(on_drained, nullptr)) {
-        done();
-      }
+      ReleasePartitions();
     }
   };
-  drain_timer.Cancel();
+  // Without the store the partitions are released all the same.
+  drain_timer = context.loop.After(kHandOverTimeout, [this] { ReleasePartitions(); });
   // The next owner need not count what this one had reserved ahead.
   for (const auto& partition : served) {
     for (const ledger::ProgramSpend& spend : partition->ledger().ExactSpends()) {
@@ -244,13 +244,23 @@
   finish_one(true);
 }
 
+void Gateway::Impl::ReleasePartitions() {
+  drain_timer.Cancel();
+  if (const auto done = std::exchange(on_drained, nullptr)) {
+    // Turns that still run are recorded by the next owners.
+    ownership.ReleaseAll();
+    done();
+  }
+}
+
 Gateway::Gateway(net::Loop& loop, GatewayOptions options, ledger::PartitionStore& store)
     : impl_(std::make_unique<Impl>(loop, std::move(options), store)) {}
 
 Gateway::~Gateway() = default;
 
-void Gateway::JoinCluster(const std::string& cluster_key) {
-  impl_->JoinCluster(cluster_key);
+void Gateway::JoinCluster(const std::string& cluster_key,
+                          std::function<void(const Member&)> on_member_gone) {
+  impl_->JoinCluster(cluster_key, std::move(on_member_gone));
 }
 
 void Gateway::SetConfiguration(Configuration configuration) {
@@ -328,8 +338,7 @@
   impl_->on_drained = std::move(on_idle);
   impl_->ownership.StopServing();
   impl_->Heartbeat();
-  impl_->drain_timer =
-      impl_->context.loop.Every(kDrainCheckPeriod, [this] { impl_->CheckDrained(); });
+  impl_->HandOver();
 }
 
 std::size_t Gateway::open_requests() const {
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -11,6 +11,8 @@
 // Five heartbeats; a daemon that is silent for longer has stopped, is paused or is cut off.
 constexpr Duration kPeerSilence = std::chrono::milliseconds(1000);
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
+// The first attempt after a loss tells an ended process from a broken connection.
+constexpr Duration kFirstReconnectDelay = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -125,6 +127,7 @@
                return;
              }
              found->second.opened_at = context_.loop.Now();
+             found->second.attempts = 0;
              found->second.connection->Send(
                  EncodePeerMessage(PeerHello{.member = context_.options.self}));
              handlers_.on_open(daemon);
@@ -147,11 +150,20 @@
   if (found == outgoing_.end()) {
     return;
   }
-  found->second.retry = context_.loop.After(kReconnectDelay, [this, daemon] {
+  Outgoing& link = found->second;
+  const Duration delay = link.attempts == 0 ? kFirstReconnectDelay : kReconnectDelay;
+  link.retry = context_.loop.After(delay, [this, daemon] {
     if (outgoing_.contains(daemon)) {
       Connect(daemon);
     }
   });
+  ++link.attempts;
+  const auto heard = heard_.find(daemon);
+  if (link.attempts == 2 && heard != heard_.end()) {
+    const Member gone = heard->second.member;
+    heard_.erase(heard);
+    handlers_.on_gone(gone);
+  }
   handlers_.on_lost(daemon);
 }
 
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -24,6 +24,8 @@
   /// The connection to the daemon opened or was lost; what was sent on a lost one may have arrived.
   std::function<void(const DaemonId&)> on_open = {};
   std::function<void(const DaemonId&)> on_lost = {};
+  /// The daemon refuses connections: its process has ended.
+  std::function<void(const Member&)> on_gone = {};
   /// A daemon that asked for turns is gone.
   std::function<void(const DaemonId&)> on_asker_lost = {};
 };
@@ -54,6 +56,8 @@
     net::PeerConnectionPtr connection;
     net::Timer retry;
     MonotonicTime opened_at;
+    /// Attempts to connect since the connection was last open.
+    std::uint32_t attempts = 0;
   };
   struct Incoming {
     net::PeerConnectionPtr connection;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -147,6 +147,29 @@
   }
 };
 
+/// @brief What a daemon that lost a partition while its turn ran asks the next owner to record.
+struct CommitRequest {
+  ExchangeId exchange = {};
+  ProgramId program = {};
+  /// Tokens that the new owner has not counted yet.
+  TokenCount tokens = {};
+  /// At most one turn.
+  std::vector<ledger::Turn> turns = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, program, tokens, turns);
+  }
+};
+
+struct CommitReply {
+  ExchangeId exchange = {};
+  bool durable = false;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, durable);
+  }
+};
+
 using PeerMessage = std::variant<PeerHello,
                                  PeerStatus,
                                  TurnRequest,
@@ -157,7 +180,9 @@
                                  TurnRefused,
                                  TurnCancelled,
                                  ChainQuery,
-                                 ChainReply>;
+                                 ChainReply,
+                                 CommitRequest,
+                                 CommitReply>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError.
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -44,7 +44,8 @@
     : context_(context),
       ownership_(ownership),
       links_(links),
-      chain_search_(context, ownership, links) {}
+      chain_search_(context, ownership, links),
+      commit_relay_(context, ownership, links) {}
 
 ledger::PartitionId TurnRouter::PartitionFor(const TurnRequest& request) const {
   return ledger::PartitionOf(request.program.program, context_.options.partition_count);
@@ -133,30 +134,36 @@
 }
 
 TurnServices TurnRouter::MakeServices() {
-  return {.find_chain =
-              [this](const ledger::TurnId& turn,
-                     std::function<void(const ChainSearchResult&)> on_done) {
-                chain_search_.Find(turn, std::move(on_done));
-              },
-          .preferred_endpoint =
-              [this](const ProgramContext& program) {
-                auto found = last_endpoint_.find(program.session.value());
-                if (found == last_endpoint_.end()) {
-                  found = last_endpoint_.find(program.program.value());
-                }
-                return found == last_endpoint_.end() ? EndpointId() : found->second;
-              },
-          .remember_endpoint =
-              [this](const ProgramContext& program, const EndpointId& endpoint) {
-                if (last_endpoint_.size() > kMaxRememberedSessions) {
-                  last_endpoint_.clear();
-                }
-                last_endpoint_[program.session.value()] = endpoint;
-                last_endpoint_[program.program.value()] = endpoint;
-              }};
+  return {
+      .find_chain =
+          [this](const ledger::TurnId& turn,
+                 std::function<void(const ChainSearchResult&)> on_done) {
+            chain_search_.Find(turn, std::move(on_done));
+          },
+      .preferred_endpoint =
+          [this](const ProgramContext& program) {
+            auto found = last_endpoint_.find(program.session.value());
+            if (found == last_endpoint_.end()) {
+              found = last_endpoint_.find(program.program.value());
+            }
+            return found == last_endpoint_.end() ? EndpointId() : found->second;
+          },
+      .remember_endpoint =
+          [this](const ProgramContext& program, const EndpointId& endpoint) {
+            if (last_endpoint_.size() > kMaxRememberedSessions) {
+              last_endpoint_.clear();
+            }
+            last_endpoint_[program.session.value()] = endpoint;
+            last_endpoint_[program.program.value()] = endpoint;
+          },
+      .commit_elsewhere =
+          [this](CommitRequest request, MonotonicTime deadline, std::function<void(bool)> on_done) {
+            commit_relay_.Commit(std::move(request), deadline, std::move(on_done));
+          }};
 }
 
 void TurnRouter::Retry() {
+  commit_relay_.Retry();
   std::vector<ExchangeId> waiting;
   for (const auto& [id, turn] : submitted_) {
     if (turn.state == State::kWaiting) {
@@ -270,7 +277,9 @@
                           }
                         },
                         [&](ChainQuery& query) { chain_search_.Answer(query, reply); },
-                        [&](ChainReply& found) { chain_search_.OnReply(found); }},
+                        [&](ChainReply& found) { chain_search_.OnReply(found); },
+                        [&](CommitRequest& commit) { commit_relay_.Answer(commit, reply); },
+                        [&](CommitReply& answer) { commit_relay_.OnReply(answer); }},
              message);
 }
 
@@ -288,6 +297,7 @@
 }
 
 void TurnRouter::OnPeerLost(const DaemonId& daemon) {
+  commit_relay_.OnPeerLost(daemon);
   std::vector<ExchangeId> lost;
   for (const auto& [id, turn] : submitted_) {
     if (turn.state == State::kRemote && turn.owner == daemon) {
--- a/src/gateway/turn_router.h
+++ b/src/gateway/turn_router.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 
 #include "src/gateway/chain_search.h"
+#include "src/gateway/commit_relay.h"
 #include "src/gateway/ownership.h"
 #include "src/gateway/peer_links.h"
 #include "src/gateway/turn_run.h"
@@ -75,6 +76,7 @@
   Ownership& ownership_;
   std::function<PeerLinks*()> links_;
   ChainSearch chain_search_;
+  CommitRelay commit_relay_;
   std::unordered_map<ExchangeId, Submitted> submitted_;
   std::map<AskedTurn, std::weak_ptr<TurnRun>> asked_;
   std::set<std::shared_ptr<TurnRun>> runs_;
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -107,7 +107,7 @@
   if (const auto* needed = std::get_if<ledger::SpendNeedsRecord>(&admission)) {
     partition_->Append({.spend = needed->spend}, [weak = weak_from_this()](bool durable) {
       if (const auto self = weak.lock()) {
-        self->OnReserved(durable);
+        self->OnReservation(durable);
       }
     });
   } else {
@@ -144,6 +144,21 @@
   call_->Start();
 }
 
+void TurnRun::OnReservation(bool durable) {
+  if (durable || ended_) {
+    OnReserved(durable);
+    return;
+  }
+  // The partition has moved; its next owner reserves the tokens instead.
+  services_.commit_elsewhere(
+      {.program = request_.program.program, .tokens = request_.program.max_output}, deadline_,
+      [weak = weak_from_this()](bool reserved) {
+        if (const auto self = weak.lock()) {
+          self->OnReserved(reserved);
+        }
+      });
+}
+
 void TurnRun::OnReserved(bool durable) {
   if (ended_) {
     return;
@@ -251,20 +266,38 @@
                              .retention = Duration(request_.retention_us)};
   Settle();
   const auto self = shared_from_this();
-  partition_->Append(record, [weak = weak_from_this()](bool durable) {
+  partition_->Append(record, [weak = weak_from_this(), turn = *record.turn](bool durable) {
     const auto live = weak.lock();
     if (!live || live->ended_) {
       return;
     }
     if (durable) {
-      live->sink_->End();
-      live->Ended("completed");
-    } else {
-      live->EndWithout({.status = 502, .reason = "owner_changed"});
+      live->OnRecorded(true);
+      return;
     }
+    // The next owner has counted the tokens, which were below the recorded ceiling.
+    live->services_.commit_elsewhere({.program = live->request_.program.program, .turns = {turn}},
+                                     live->deadline_, [weak](bool recorded) {
+                                       if (const auto still_live = weak.lock()) {
+                                         still_live->OnRecorded(recorded);
+                                       }
+                                     });
   });
 }
 
+void TurnRun::OnRecorded(bool durable) {
+  if (ended_) {
+    return;
+  }
+  if (durable) {
+    const auto self = shared_from_this();
+    sink_->End();
+    Ended("completed");
+  } else {
+    EndWithout({.status = 502, .reason = "owner_changed"});
+  }
+}
+
 void TurnRun::Settle() {
   if (!admitted_) {
     return;
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -28,6 +28,9 @@
       find_chain = {};
   std::function<EndpointId(const ProgramContext&)> preferred_endpoint = {};
   std::function<void(const ProgramContext&, const EndpointId&)> remember_endpoint = {};
+  /// Records at the next owner of the partition, by the given time; false if it was not possible.
+  std::function<void(CommitRequest, MonotonicTime, std::function<void(bool durable)>)>
+      commit_elsewhere = {};
 };
 
 /// @brief One turn at the owner of its program: budget, chain, endpoint call and durable end.
@@ -49,7 +52,9 @@
   void SearchChain();
   void Admit();
   void Call();
+  void OnReservation(bool durable);
   void OnReserved(bool durable);
+  void OnRecorded(bool durable);
   void OnHead(int status, const net::Headers& headers);
   void OnData(std::string_view data);
   void OnCallDone(const Outcome& outcome);
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -64,6 +64,15 @@
   return {.program = id, .spent = spent, .ceiling = RaiseCeiling(program, spent + others)};
 }
 
+ProgramSpend ProgramLedger::AddSpent(const ProgramId& id, TokenCount tokens, MonotonicTime now) {
+  Program& program = programs_[id];
+  program.last_active = now;
+  program.spent += tokens;
+  return {.program = id,
+          .spent = program.spent,
+          .ceiling = RaiseCeiling(program, program.spent + program.in_flight)};
+}
+
 std::vector<ProgramSpend> ProgramLedger::ExactSpends() const {
   std::vector<ProgramSpend> spends;
   for (const auto& [id, program] : programs_) {
