Test the ledger, the gateway's tables and messages, and the platform adapter; add a stand-in of the metadata store

fakes/fake_store speaks the store's log protocol with faults (lost and late answers, silence, refusals, partitions dealt anew); its model also carries the ledger's tests in virtual time.

--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -6,11 +6,11 @@
 
 # Logic of the fakes that does no I/O.
 add_library(acaciaspring_fake_models STATIC fakes/cache_events.cc fakes/engine_batch.cc fakes/engine_orders.cc
-  fakes/faults.cc fakes/kv_holds.cc fakes/log_stream.cc fakes/prefix_cache.cc)
+  fakes/faults.cc fakes/kv_holds.cc fakes/log_stream.cc fakes/prefix_cache.cc fakes/store_model.cc)
 target_link_libraries(acaciaspring_fake_models PUBLIC acaciaspring_answer)
 
 add_library(acaciaspring_fake_service STATIC fakes/close_connection.cc fakes/engine_streams.cc fakes/fake_engine.cc
-  fakes/fake_log.cc fakes/run_fake.cc fakes/service.cc)
+  fakes/fake_log.cc fakes/fake_store.cc fakes/run_fake.cc fakes/service.cc)
 target_link_libraries(acaciaspring_fake_service PUBLIC acaciaspring_fake_models acaciaspring_net PkgConfig::GLOG
   Boost::program_options)
 
@@ -23,8 +23,11 @@
 add_executable(fakes_test fakes/answer_test.cc fakes/cache_events_test.cc fakes/engine_batch_test.cc
   fakes/engine_orders_test.cc fakes/fake_engine_test.cc fakes/fake_log_test.cc fakes/fake_tools_test.cc
   fakes/log_stream_test.cc
-  fakes/prefix_cache_test.cc $<TARGET_OBJECTS:test_main>)
+  fakes/prefix_cache_test.cc fakes/store_model_test.cc $<TARGET_OBJECTS:test_main>)
 target_link_libraries(fakes_test PRIVATE acaciaspring_fake_service Boost::unit_test_framework)
+# The contract tests of the store client run against the stand-in, the ledger's against its model.
+target_link_libraries(platform_test PRIVATE acaciaspring_fake_service)
+target_link_libraries(ledger_test PRIVATE acaciaspring_fake_models)
 add_test(NAME fakes COMMAND fakes_test --log_level=test_suite)
 
 
--- /dev/null
+++ b/fakes/fake_store.cc
@@ -0,0 +1,241 @@
+#include "fakes/fake_store.h"
+
+#include <openssl/evp.h>
+
+#include <algorithm>
+
+namespace acaciaspring::fakes {
+
+namespace {
+
+constexpr std::string_view kKeyedPrefix = "keyed.";
+constexpr std::size_t kReadBytes = std::size_t{1} << 20;
+
+std::string BigEndian(std::uint64_t value, int bytes) {
+  std::string out;
+  for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8) {
+    out.push_back(static_cast<char>(value >> shift & 0xffU));
+  }
+  return out;
+}
+
+std::vector<std::string> SplitRecords(std::string_view body) {
+  std::vector<std::string> records;
+  while (body.size() >= 4) {
+    std::size_t size = 0;
+    for (const char byte : body.substr(0, 4)) {
+      size = size << 8 | static_cast<unsigned char>(byte);
+    }
+    records.emplace_back(body.substr(4, size));
+    body.remove_prefix(std::min(body.size(), 4 + size));
+  }
+  return records;
+}
+
+std::string Base64(const std::string& bytes) {
+  std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+  const int size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                                   reinterpret_cast<const unsigned char*>(bytes.data()),
+                                   static_cast<int>(bytes.size()));
+  text.resize(static_cast<std::size_t>(size));
+  return text;
+}
+
+StorePartitionName NameOf(const Call& call) {
+  return {std::string(net::FindQueryParameter(call.request, "topic")),
+          static_cast<std::uint32_t>(QueryNumber(call.request, "part", 0))};
+}
+
+void AnswerAppend(const net::HttpResponderPtr& responder, const StoreAppendResult& result) {
+  Json::Value body;
+  std::visit(Overloaded{[&](const StoreAppended& appended) {
+                          body["offset"] = Json::UInt64(appended.offset);
+                          body["end"] = Json::UInt64(appended.end);
+                          AnswerJson(responder, 200, body);
+                        },
+                        [&](const StoreNotAtEnd& other) {
+                          body["end"] = Json::UInt64(other.end);
+                          AnswerJson(responder, 412, body);
+                        },
+                        [&](const StoreFenced&) {
+                          body["why"] = "fenced";
+                          AnswerJson(responder, 409, body);
+                        },
+                        [&](const StoreSequenceGap& gap) {
+                          body["why"] = "seq";
+                          body["sequence"] = Json::UInt64(gap.expected);
+                          AnswerJson(responder, 409, body);
+                        }},
+             result);
+}
+
+}  // namespace
+
+FakeStore::FakeStore(net::Loop& loop, const net::Address& listen, const StoreOptions& options)
+    : options_(options), service_(loop, listen, {"lose_answers", "late_ms", "silent"}) {
+  const auto route = [this](const char* method, const char* path,
+                            void (FakeStore::*handler)(const Call&)) {
+    service_.Route(method, path, [this, handler](const Call& call) {
+      if (service_.faults().On("silent")) {
+        service_.HoldWithoutAnswer(call.responder);
+        return;
+      }
+      (this->*handler)(call);
+    });
+  };
+  route("POST", "/-/log-append", &FakeStore::Append);
+  route("GET", "/-/log-read", &FakeStore::Read);
+  route("GET", "/-/log-newest", &FakeStore::Newest);
+  route("POST", "/-/log-trim", &FakeStore::Trim);
+  route("POST", "/-/log-join", &FakeStore::Join);
+  route("POST", "/-/log-leave", &FakeStore::Leave);
+}
+
+void FakeStore::WriteKey(const std::string& topic,
+                         const std::string& key,
+                         const std::string& value) {
+  std::string record(1, static_cast<char>(key.size()));
+  Execute(topic, 0, {.at = {}, .producer = {}, .records = {record + key + value}});
+}
+
+void FakeStore::DealAnew() {
+  for (auto& [name, group] : groups_) {
+    group.DealAnew();
+  }
+}
+
+StoreAppendResult FakeStore::Execute(const std::string& topic,
+                                     std::uint32_t part,
+                                     const StoreAppend& append) {
+  const StoreAppendResult result = partitions_[{topic, part}].Append(append);
+  const auto* appended = std::get_if<StoreAppended>(&result);
+  if (appended != nullptr && topic.starts_with(kKeyedPrefix)) {
+    std::uint64_t offset = appended->offset;
+    for (const std::string& record : append.records) {
+      const std::size_t key_size = static_cast<unsigned char>(record.at(0));
+      const std::string key = record.substr(1, key_size);
+      const std::string value = record.substr(std::min(record.size(), 1 + key_size));
+      if (value.empty()) {
+        keyed_[topic].erase(key);
+      } else {
+        keyed_[topic][key] = {value, offset};
+      }
+      ++offset;
+    }
+  }
+  return result;
+}
+
+void FakeStore::Append(const Call& call) {
+  const net::HttpRequest& request = call.request;
+  StoreAppend append{.at = {}, .producer = {}, .records = SplitRecords(request.body)};
+  if (!net::FindQueryParameter(request, "at").empty()) {
+    append.at = QueryNumber(request, "at", 0);
+  }
+  if (const auto producer = net::FindQueryParameter(request, "producer"); !producer.empty()) {
+    append.producer = {.name = std::string(producer),
+                       .epoch = QueryNumber(request, "epoch", 0),
+                       .sequence = QueryNumber(request, "sequence", 0)};
+  }
+  const auto [topic, part] = NameOf(call);
+  const auto lost = static_cast<std::uint64_t>(service_.faults().Value("lose_answers"));
+  if (append_count_++ % 100 < lost) {
+    const auto execute = [this, topic = topic, part = part, append] {
+      Execute(topic, part, append);
+    };
+    const std::int64_t late_ms = service_.faults().Value("late_ms");
+    if (late_ms > 0) {
+      service_.After(std::chrono::milliseconds(late_ms), execute);
+    } else {
+      execute();
+    }
+    service_.HoldWithoutAnswer(call.responder);
+    return;
+  }
+  AnswerAppend(call.responder, Execute(topic, part, append));
+}
+
+void FakeStore::Read(const Call& call) {
+  const StorePartition& partition = partitions_[NameOf(call)];
+  const std::uint64_t from = QueryNumber(call.request, "from", 0);
+  if (from < partition.first()) {
+    Json::Value body;
+    body["first"] = Json::UInt64(partition.first());
+    AnswerJson(call.responder, 410, body);
+    return;
+  }
+  std::string body = BigEndian(partition.end(), 8) + BigEndian(partition.first(), 8);
+  for (std::uint64_t offset = from; offset < partition.end() && body.size() < kReadBytes;
+       ++offset) {
+    const std::string& record = partition.At(offset);
+    body += BigEndian(record.size(), 4) + record;
+  }
+  call.responder->Respond(200, {{"content-type", "application/octet-stream"}}, body);
+}
+
+void FakeStore::Newest(const Call& call) {
+  const std::string topic(net::FindQueryParameter(call.request, "topic"));
+  Json::Value body;
+  body["items"] = Json::arrayValue;
+  for (const auto& [key, entry] : keyed_[topic]) {
+    Json::Value item;
+    item["key"] = key;
+    item["value"] = Base64(entry.first);
+    item["offset"] = Json::UInt64(entry.second);
+    body["items"].append(item);
+  }
+  body["more"] = false;
+  body["end"] = Json::UInt64(partitions_[{topic, 0}].end());
+  AnswerJson(call.responder, 200, body);
+}
+
+void FakeStore::Trim(const Call& call) {
+  const auto body = ParseJson(call.request.body);
+  if (!body || !(*body)["topic"].isString()) {
+    AnswerError(call.responder, 400, "bad_request", "topic is missing");
+    return;
+  }
+  partitions_[{(*body)["topic"].asString(), (*body)["part"].asUInt()}].TrimBefore(
+      (*body)["before"].asUInt64());
+  AnswerJson(call.responder, 200, Json::objectValue);
+}
+
+void FakeStore::Join(const Call& call) {
+  const auto body = ParseJson(call.request.body);
+  if (!body || !(*body)["group"].isString() || !(*body)["topics"].isArray()) {
+    AnswerError(call.responder, 400, "bad_request", "group or topics are missing");
+    return;
+  }
+  std::vector<StorePartitionName> partitions;
+  for (const Json::Value& topic : (*body)["topics"]) {
+    for (std::uint32_t part = 0; part < options_.partitions_per_topic; ++part) {
+      partitions.emplace_back(topic.asString(), part);
+    }
+  }
+  const StoreGroup::Share share = groups_[(*body)["group"].asString()].Join(
+      (*body)["member"].asString(), (*body)["generation"].asUInt64(),
+      std::chrono::milliseconds((*body)["ttl_ms"].asInt64()), partitions, service_.loop().Now());
+  Json::Value answer;
+  answer["generation"] = Json::UInt64(share.generation);
+  answer["parts"] = Json::arrayValue;
+  for (const auto& [topic, part] : share.partitions) {
+    Json::Value row;
+    row.append(topic);
+    row.append(part);
+    row.append(0);
+    answer["parts"].append(row);
+  }
+  AnswerJson(call.responder, 200, answer);
+}
+
+void FakeStore::Leave(const Call& call) {
+  const auto body = ParseJson(call.request.body);
+  if (!body || !(*body)["group"].isString()) {
+    AnswerError(call.responder, 400, "bad_request", "group is missing");
+    return;
+  }
+  groups_[(*body)["group"].asString()].Leave((*body)["member"].asString());
+  AnswerJson(call.responder, 200, Json::objectValue);
+}
+
+}  // namespace acaciaspring::fakes
--- /dev/null
+++ b/fakes/store_model.cc
@@ -0,0 +1,124 @@
+#include "fakes/store_model.h"
+
+#include <algorithm>
+
+namespace acaciaspring::fakes {
+
+namespace {
+
+// Repeats of older appends are refused as a gap.
+constexpr std::size_t kRememberedAppends = 5;
+
+}  // namespace
+
+StoreAppendResult StorePartition::Append(const StoreAppend& append) {
+  if (append.at && *append.at != end()) {
+    return StoreNotAtEnd{.end = end()};
+  }
+  ProducerState* state = nullptr;
+  if (append.producer) {
+    const StoreAppend::Producer& producer = *append.producer;
+    state = &producers_[producer.name];
+    if (producer.epoch < state->epoch) {
+      return StoreFenced{};
+    }
+    if (producer.epoch > state->epoch) {
+      *state = {.epoch = producer.epoch, .next_sequence = producer.sequence, .repeats = {}};
+    }
+    if (append.records.empty()) {
+      return StoreAppended{.offset = end(), .end = end()};
+    }
+    if (const auto repeat = state->repeats.find(producer.sequence);
+        repeat != state->repeats.end()) {
+      return repeat->second;
+    }
+    if (producer.sequence != state->next_sequence) {
+      return StoreSequenceGap{.expected = state->next_sequence};
+    }
+  }
+  const std::uint64_t offset = end();
+  records_.insert(records_.end(), append.records.begin(), append.records.end());
+  const StoreAppended appended{.offset = offset, .end = end()};
+  if (state != nullptr) {
+    state->repeats[state->next_sequence++] = appended;
+    if (state->repeats.size() > kRememberedAppends) {
+      state->repeats.erase(state->repeats.begin());
+    }
+  }
+  return appended;
+}
+
+void StorePartition::TrimBefore(std::uint64_t offset) {
+  while (first_ < offset && !records_.empty()) {
+    records_.pop_front();
+    ++first_;
+  }
+}
+
+StoreGroup::Share StoreGroup::Join(const std::string& member,
+                                   std::uint64_t generation,
+                                   Duration ttl,
+                                   const std::vector<StorePartitionName>& partitions,
+                                   MonotonicTime now) {
+  Expire(now);
+  bool changed = !members_.contains(member);
+  for (const StorePartitionName& name : partitions) {
+    changed = assignments_.try_emplace(name).second || changed;
+  }
+  members_[member] = {.expires_at = now + ttl, .generation = generation};
+  if (changed) {
+    Rebalance();
+  }
+  MoveReleased();
+  Share share{.generation = generation_, .partitions = {}};
+  for (const auto& [name, assignment] : assignments_) {
+    if (assignment.holder == member && assignment.target == member) {
+      share.partitions.push_back(name);
+    }
+  }
+  return share;
+}
+
+void StoreGroup::Leave(const std::string& member) {
+  if (members_.erase(member) > 0) {
+    Rebalance();
+    MoveReleased();
+  }
+}
+
+void StoreGroup::Expire(MonotonicTime now) {
+  if (std::erase_if(members_, [now](const auto& entry) { return entry.second.expires_at < now; }) >
+      0) {
+    Rebalance();
+    MoveReleased();
+  }
+}
+
+void StoreGroup::DealAnew() {
+  ++rotation_;
+  Rebalance();
+}
+
+void StoreGroup::Rebalance() {
+  ++generation_;
+  std::vector<std::string> names;
+  for (const auto& [name, member] : members_) {
+    names.push_back(name);
+  }
+  std::uint64_t index = rotation_;
+  for (auto& [name, assignment] : assignments_) {
+    assignment.target = names.empty() ? std::string() : names[index++ % names.size()];
+  }
+}
+
+void StoreGroup::MoveReleased() {
+  for (auto& [name, assignment] : assignments_) {
+    const auto holder = members_.find(assignment.holder);
+    const bool released = holder == members_.end() || holder->second.generation >= generation_;
+    if (assignment.holder != assignment.target && released) {
+      assignment.holder = assignment.target;
+    }
+  }
+}
+
+}  // namespace acaciaspring::fakes
--- /dev/null
+++ b/src/gateway/endpoint_table_test.cc
@@ -0,0 +1,99 @@
+#include "src/gateway/endpoint_table.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+constexpr MonotonicTime kNow{std::chrono::seconds(100)};
+const ServiceId kService("engines");
+
+RegisteredEndpoint MakeEndpoint(const std::string& id, const std::string& zone = "z") {
+  return {.id = EndpointId(id),
+          .service = kService,
+          .address = {.ip = "10.0.0.1", .port = static_cast<std::uint16_t>(1000 + id.back())},
+          .zone = AvailabilityZone(zone),
+          .slots = 10};
+}
+
+struct Fixture {
+  EndpointTable table{AvailabilityZone("z")};
+  std::mt19937_64 random{1};
+
+  std::map<std::string, int> ChooseMany(int count, const EndpointQuery& query) {
+    std::map<std::string, int> counts;
+    for (int i = 0; i < count; ++i) {
+      const auto* chosen = table.Choose(query, kNow, random);
+      ++counts[chosen == nullptr ? "" : chosen->id.value()];
+    }
+    return counts;
+  }
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(endpoint_table, Fixture)
+
+// Pattern: a burst, in which every daemon has calls in flight that the others must count.
+BOOST_AUTO_TEST_CASE(calls_of_other_daemons_count_as_load) {
+  table.SetEndpoints({MakeEndpoint("a"), MakeEndpoint("b")});
+  table.SetRemoteCounts(DaemonId("d1"), {{EndpointId("a"), 4}});
+  BOOST_TEST(ChooseMany(100, {.service = kService})["b"] == 100);
+  table.SetRemoteCounts(DaemonId("d1"), {{EndpointId("b"), 4}});
+  BOOST_TEST(ChooseMany(100, {.service = kService})["a"] == 100);
+  table.ForgetDaemon(DaemonId("d1"));
+  BOOST_TEST(ChooseMany(100, {.service = kService}).size() == 2U);
+}
+
+// Pattern: programs of several turns, whose prefix is in the memory of one engine.
+BOOST_AUTO_TEST_CASE(session_stays_until_its_endpoint_is_full) {
+  table.SetEndpoints({MakeEndpoint("a"), MakeEndpoint("b")});
+  const EndpointQuery query{.service = kService, .preferred = EndpointId("a")};
+  table.SetRemoteCounts(DaemonId("d"), {{EndpointId("a"), 8}});
+  BOOST_TEST(ChooseMany(10, query)["a"] == 10);
+  table.SetRemoteCounts(DaemonId("d"), {{EndpointId("a"), 9}});
+  BOOST_TEST(ChooseMany(10, query)["b"] == 10);
+}
+
+// Pattern: a third of the engines gone at once; each failure must cost few further calls.
+BOOST_AUTO_TEST_CASE(failed_endpoint_is_avoided_for_growing_times) {
+  table.SetEndpoints({MakeEndpoint("a"), MakeEndpoint("b", "far")});
+  table.OnStarted(EndpointId("a"));
+  table.OnFinished(EndpointId("a"), CallVerdict::kFailed, kNow);
+  BOOST_TEST(ChooseMany(10, {.service = kService, .preferred = EndpointId("a")})["b"] == 10);
+  // All others excluded: better an avoided endpoint than none.
+  BOOST_TEST(ChooseMany(1, {.service = kService, .excluded = {EndpointId("b")}})["a"] == 1);
+}
+
+// Guards against new work for an endpoint that leaves or that has not answered the register.
+BOOST_AUTO_TEST_CASE(draining_and_unlisted_endpoints_get_nothing) {
+  RegisteredEndpoint draining = MakeEndpoint("a");
+  draining.state = EndpointState::kDraining;
+  table.SetEndpoints({draining});
+  BOOST_TEST(table.Choose({.service = kService, .preferred = EndpointId("a")}, kNow, random) ==
+             nullptr);
+  table.SetEndpoints({});
+  BOOST_TEST(table.Choose({.service = kService}, kNow, random) == nullptr);
+}
+
+// Guards against a verdict on an earlier run that counts against a restart under the same id.
+BOOST_AUTO_TEST_CASE(restart_under_the_same_id_starts_clean) {
+  table.SetEndpoints({MakeEndpoint("a"), MakeEndpoint("b", "far")});
+  table.OnStarted(EndpointId("a"));
+  table.OnFinished(EndpointId("a"), CallVerdict::kFailed, kNow);
+  RegisteredEndpoint restarted = MakeEndpoint("a");
+  restarted.started_at_ms = 5;
+  table.SetEndpoints({restarted, MakeEndpoint("b", "far")});
+  BOOST_TEST(ChooseMany(10, {.service = kService})["a"] == 10);
+}
+
+BOOST_AUTO_TEST_CASE(same_zone_is_preferred_on_equal_load) {
+  table.SetEndpoints({MakeEndpoint("a", "far"), MakeEndpoint("b", "z")});
+  BOOST_TEST(ChooseMany(50, {.service = kService})["b"] == 50);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/ledger/program_ledger_test.cc
@@ -0,0 +1,169 @@
+#include <boost/test/unit_test.hpp>
+
+#include "acaciaspring/ledger.h"
+
+namespace acaciaspring::ledger {
+
+namespace {
+
+const ProgramId kProgram("p");
+constexpr MonotonicTime kStart{std::chrono::seconds(100)};
+constexpr WallTime kWallStart{std::chrono::seconds(1'000'000)};
+
+TurnDemand Demand(std::uint64_t budget, std::uint64_t maximum) {
+  return {.program = kProgram, .budget = TokenCount(budget), .maximum = TokenCount(maximum)};
+}
+
+Turn MakeTurn(const std::string& id, const std::string& parent) {
+  return {.id = TurnId(id),
+          .parent = TurnId(parent),
+          .input = "in-" + id,
+          .output = "out-" + id,
+          .recorded_at = kWallStart,
+          .retention = std::chrono::seconds(60)};
+}
+
+/// @brief Admits a turn and makes its reservation durable.
+bool AdmitDurably(ProgramLedger& ledger, const TurnDemand& demand, std::uint64_t& offset) {
+  const Admission admission = ledger.Admit(demand, kStart);
+  if (const auto* needed = std::get_if<SpendNeedsRecord>(&admission)) {
+    ledger.Apply({.spend = needed->spend}, RecordOffset(offset++), kStart);
+  }
+  return !std::holds_alternative<BudgetSpent>(admission);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(program_ledger)
+
+// Guards against an append for each turn: the reservation of one turn covers the next ones.
+BOOST_AUTO_TEST_CASE(one_record_covers_several_turns) {
+  ProgramLedger ledger({.turns_ahead = 2});
+  std::uint64_t offset = 0;
+  BOOST_TEST(AdmitDurably(ledger, Demand(1000, 100), offset));
+  ledger.Settle(kProgram, TokenCount(100), TokenCount(60));
+  BOOST_TEST(std::holds_alternative<SpendGranted>(ledger.Admit(Demand(1000, 100), kStart)));
+  BOOST_TEST(offset == 1U);
+}
+
+// Guards against a budget that concurrent sub-agents exceed together.
+BOOST_AUTO_TEST_CASE(turns_in_flight_count_at_their_most) {
+  ProgramLedger ledger;
+  std::uint64_t offset = 0;
+  BOOST_TEST(AdmitDurably(ledger, Demand(250, 100), offset));
+  BOOST_TEST(AdmitDurably(ledger, Demand(250, 100), offset));
+  BOOST_TEST(!AdmitDurably(ledger, Demand(250, 100), offset));
+  ledger.Settle(kProgram, TokenCount(100), TokenCount(10));
+  BOOST_TEST(AdmitDurably(ledger, Demand(250, 100), offset));
+}
+
+// Guards against tokens that a lost owner handed out and its successor does not count.
+BOOST_AUTO_TEST_CASE(successor_counts_the_ceiling_as_spent) {
+  ProgramLedger former({.turns_ahead = 1});
+  const Admission admission = former.Admit(Demand(1000, 100), kStart);
+  const auto spend = std::get<SpendNeedsRecord>(admission).spend;
+  ProgramLedger successor;
+  successor.Apply({.spend = spend}, RecordOffset(0), kStart);
+  successor.FinishLoading();
+  const Admission refused = successor.Admit(Demand(299, 100), kStart);
+  BOOST_REQUIRE(std::holds_alternative<BudgetSpent>(refused));
+  BOOST_TEST(std::get<BudgetSpent>(refused).spent.value() == 200U);
+}
+
+// Guards against a record that is applied late and takes away a ceiling on which a turn relies.
+BOOST_AUTO_TEST_CASE(later_records_never_lower_the_ceiling) {
+  ProgramLedger ledger({.turns_ahead = 2});
+  const auto first = std::get<SpendNeedsRecord>(ledger.Admit(Demand(5000, 100), kStart)).spend;
+  const auto second = std::get<SpendNeedsRecord>(ledger.Admit(Demand(5000, 100), kStart)).spend;
+  const ProgramSpend at_end = ledger.SpendAtEnd(kProgram, TokenCount(100), TokenCount(1));
+  BOOST_TEST(second.ceiling.value() >= first.ceiling.value());
+  BOOST_TEST(at_end.ceiling.value() >= second.ceiling.value());
+}
+
+// Guards against a planned hand-over that takes budget away from idle programs.
+BOOST_AUTO_TEST_CASE(exact_spend_is_recorded_before_a_release) {
+  ProgramLedger former;
+  std::uint64_t offset = 0;
+  AdmitDurably(former, Demand(1000, 100), offset);
+  former.Settle(kProgram, TokenCount(100), TokenCount(40));
+  ProgramLedger successor;
+  for (const ProgramSpend& spend : former.ExactSpends()) {
+    successor.Apply({.spend = spend}, RecordOffset(offset++), kStart);
+  }
+  successor.FinishLoading();
+  BOOST_TEST(std::holds_alternative<SpendNeedsRecord>(successor.Admit(Demand(140, 100), kStart)));
+}
+
+// Guards against uncounted tokens of a turn that the former owner still streams.
+BOOST_AUTO_TEST_CASE(tokens_of_a_former_owners_turn_are_added) {
+  ProgramLedger ledger;
+  const ProgramSpend spend = ledger.AddSpent(kProgram, TokenCount(100), kStart);
+  BOOST_TEST(spend.spent.value() == 100U);
+  BOOST_TEST(std::holds_alternative<BudgetSpent>(ledger.Admit(Demand(150, 100), kStart)));
+}
+
+// Guards against a prompt that lacks a part of what was said before.
+BOOST_AUTO_TEST_CASE(chain_is_whole_and_oldest_first_or_absent) {
+  ProgramLedger ledger;
+  ledger.Apply({.turn = MakeTurn("a", "")}, RecordOffset(0), kStart);
+  ledger.Apply({.turn = MakeTurn("b", "a")}, RecordOffset(1), kStart);
+  ledger.Apply({.turn = MakeTurn("x", "missing")}, RecordOffset(2), kStart);
+  const auto chain = ledger.Chain(TurnId("b"));
+  BOOST_REQUIRE(chain.has_value());
+  BOOST_REQUIRE(chain->size() == 2U);
+  BOOST_TEST(chain->front()->id.value() == "a");
+  BOOST_TEST(chain->back()->id.value() == "b");
+  BOOST_TEST(!ledger.Chain(TurnId("x")).has_value());
+  BOOST_TEST(!ledger.Chain(TurnId("missing")).has_value());
+}
+
+// Guards against records that form a cycle, which would never end.
+BOOST_AUTO_TEST_CASE(cyclic_records_are_no_chain) {
+  ProgramLedger ledger;
+  ledger.Apply({.turn = MakeTurn("a", "b")}, RecordOffset(0), kStart);
+  ledger.Apply({.turn = MakeTurn("b", "a")}, RecordOffset(1), kStart);
+  BOOST_TEST(!ledger.Chain(TurnId("a")).has_value());
+}
+
+// Guards against the loss of an old turn from which a newer, kept one continues.
+BOOST_AUTO_TEST_CASE(a_turn_lives_as_long_as_those_that_continue_from_it) {
+  ProgramLedger ledger({.retention_margin = Duration(0)});
+  Turn young = MakeTurn("b", "a");
+  young.recorded_at += std::chrono::seconds(50);
+  ledger.Apply({.turn = MakeTurn("a", "")}, RecordOffset(0), kStart);
+  ledger.Apply({.turn = MakeTurn("lone", "")}, RecordOffset(1), kStart);
+  ledger.Apply({.turn = young}, RecordOffset(2), kStart);
+  ledger.Expire(kWallStart + std::chrono::seconds(100), kStart);
+  BOOST_TEST(ledger.Chain(TurnId("b")).has_value());
+  BOOST_TEST(!ledger.Chain(TurnId("lone")).has_value());
+  ledger.Expire(kWallStart + std::chrono::seconds(111), kStart);
+  BOOST_TEST(ledger.turn_count() == 0U);
+}
+
+// Guards against a forgotten budget of a program that still runs, and against memory that is never
+// given back.
+BOOST_AUTO_TEST_CASE(idle_programs_are_forgotten_after_their_retention) {
+  ProgramLedger ledger({.program_retention = std::chrono::seconds(10)});
+  std::uint64_t offset = 0;
+  AdmitDurably(ledger, Demand(1000, 100), offset);
+  ledger.Expire(kWallStart, kStart + std::chrono::seconds(60));
+  BOOST_TEST(ledger.program_count() == 1U);
+  ledger.Settle(kProgram, TokenCount(100), TokenCount(1));
+  ledger.Expire(kWallStart, kStart + std::chrono::seconds(60));
+  BOOST_TEST(ledger.program_count() == 0U);
+}
+
+// Guards against records that the store drops while they are still needed.
+BOOST_AUTO_TEST_CASE(old_live_records_are_listed_for_rewriting) {
+  ProgramLedger ledger;
+  std::uint64_t offset = 5;
+  AdmitDurably(ledger, Demand(1000, 100), offset);
+  ledger.Apply({.turn = MakeTurn("a", "")}, RecordOffset(9), kStart);
+  BOOST_TEST(ledger.OldestNeeded()->value() == 5U);
+  BOOST_TEST(ledger.LiveRecordsBefore(RecordOffset(9)).size() == 1U);
+  BOOST_TEST(ledger.LiveRecordsBefore(RecordOffset(10)).size() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::ledger
--- /dev/null
+++ b/src/ledger/test_store.h
@@ -0,0 +1,145 @@
+#ifndef ACACIASPRING_SRC_LEDGER_TEST_STORE_H_
+#define ACACIASPRING_SRC_LEDGER_TEST_STORE_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "acaciaspring/ledger.h"
+#include "fakes/store_model.h"
+
+namespace acaciaspring::ledger {
+
+/// @brief A store in memory and virtual time, with the fencing of the platform's log and its
+/// faults.
+class TestStore : public PartitionStore {
+ public:
+  /// What happens to the next appends, in order; then they are served.
+  enum class Fate : std::uint8_t { kServe, kRefuse, kLoseAnswer, kLate };
+
+  void Append(PartitionId partition,
+              OwnerEpoch epoch,
+              AppendSequence sequence,
+              std::vector<std::string> pieces,
+              std::function<void(const AppendResult&)> on_done) override {
+    const Fate fate = fates_.empty() ? Fate::kServe : fates_.front();
+    if (!fates_.empty()) {
+      fates_.pop_front();
+    }
+    ++appends_;
+    switch (fate) {
+      case Fate::kServe:
+        Post([=, this] { on_done(Serve(partition, epoch, sequence, pieces)); });
+        return;
+      case Fate::kRefuse:
+        Post([=] { on_done(StoreUnavailable{}); });
+        return;
+      case Fate::kLoseAnswer:
+        Serve(partition, epoch, sequence, pieces);
+        Post([=] { on_done(StoreUnavailable{}); });
+        return;
+      case Fate::kLate:
+        late_.push_back([=, this] { Serve(partition, epoch, sequence, pieces); });
+        Post([=] { on_done(StoreUnavailable{}); });
+        return;
+    }
+  }
+
+  void Read(PartitionId partition,
+            RecordOffset from,
+            std::function<void(const ReadResult&)> on_done) override {
+    Post([=, this] {
+      const fakes::StorePartition& log = logs_[partition];
+      if (from.value() < log.first()) {
+        on_done(HistoryDropped{.oldest = RecordOffset(log.first())});
+        return;
+      }
+      ReadPieces read{.first = from, .end = RecordOffset(log.end()), .pieces = {}};
+      for (std::uint64_t offset = from.value();
+           offset < log.end() && read.pieces.size() < pieces_per_read_; ++offset) {
+        read.pieces.push_back(log.At(offset));
+      }
+      on_done(read);
+    });
+  }
+
+  void Trim(PartitionId partition, RecordOffset before) override {
+    logs_[partition].TrimBefore(before.value());
+  }
+
+  void After(Duration delay, std::function<void()> callback) override {
+    timers_.emplace(now_ + delay, std::move(callback));
+  }
+  MonotonicTime Now() const override { return now_; }
+  WallTime WallNow() const override {
+    return WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()));
+  }
+
+  /// @brief Runs everything that is due within `duration`.
+  void Run(Duration duration) {
+    const MonotonicTime end = now_ + duration;
+    while (!timers_.empty() && timers_.begin()->first <= end) {
+      const auto next = timers_.begin();
+      now_ = next->first;
+      const auto callback = std::move(next->second);
+      timers_.erase(next);
+      callback();
+    }
+    now_ = end;
+  }
+  /// @brief Executes the appends that were delayed on their way.
+  void DeliverLate() {
+    for (const auto& late : std::exchange(late_, {})) {
+      late();
+    }
+  }
+
+  void SetFates(std::deque<Fate> fates) { fates_ = std::move(fates); }
+  void SetPiecesPerRead(std::size_t pieces) { pieces_per_read_ = pieces; }
+  std::size_t appends() const { return appends_; }
+  std::size_t size(PartitionId partition) {
+    return logs_[partition].end() - logs_[partition].first();
+  }
+
+ private:
+  void Post(std::function<void()> callback) { After(kAnswerTime, std::move(callback)); }
+
+  AppendResult Serve(PartitionId partition,
+                     OwnerEpoch epoch,
+                     AppendSequence sequence,
+                     const std::vector<std::string>& pieces) {
+    const fakes::StoreAppendResult result = logs_[partition].Append(
+        {.at = {},
+         .producer =
+             fakes::StoreAppend::Producer{
+                 .name = "owner", .epoch = epoch.value(), .sequence = sequence.value()},
+         .records = pieces});
+    return std::visit(
+        Overloaded{[](const fakes::StoreAppended& appended) {
+                     return AppendResult(Appended{.end = RecordOffset(appended.end)});
+                   },
+                   [](const fakes::StoreNotAtEnd&) { return AppendResult(StoreUnavailable{}); },
+                   [](const fakes::StoreFenced&) { return AppendResult(Fenced{}); },
+                   [](const fakes::StoreSequenceGap& gap) {
+                     return AppendResult(
+                         SequenceMismatch{.expected = AppendSequence(gap.expected)});
+                   }},
+        result);
+  }
+
+  static constexpr Duration kAnswerTime = std::chrono::milliseconds(4);
+  MonotonicTime now_{std::chrono::seconds(1000)};
+  std::multimap<MonotonicTime, std::function<void()>> timers_;
+  std::map<PartitionId, fakes::StorePartition> logs_;
+  std::deque<Fate> fates_;
+  std::vector<std::function<void()>> late_;
+  std::size_t pieces_per_read_ = 1000;
+  std::size_t appends_ = 0;
+};
+
+}  // namespace acaciaspring::ledger
+
+#endif  // ACACIASPRING_SRC_LEDGER_TEST_STORE_H_
