Adopt turns of a former owner within the budget only

A retired partition also admits no turn whose chain search ends late.

The test of adoption fails without the check.

--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -141,8 +141,9 @@
   void Settle(const ProgramId& program, TokenCount maximum, TokenCount used);
   /// @brief The spend to record with the end of a turn that is still admitted and used `used`.
   ProgramSpend SpendAtEnd(const ProgramId& program, TokenCount maximum, TokenCount used);
-  /// @brief Counts tokens that a turn of the former owner hands out; returns what to record.
-  ProgramSpend AddSpent(const ProgramId& program, TokenCount tokens, MonotonicTime now);
+  /// @brief Counts `demand.maximum` as spent for a turn that the former owner runs; returns what to
+  /// record, or none if the budget does not hold the turn.
+  std::optional<ProgramSpend> Adopt(const TurnDemand& demand, MonotonicTime now);
   /// @brief Exact spend of every idle program, to be recorded before a planned release.
   std::vector<ProgramSpend> ExactSpends() const;
 
@@ -261,6 +262,9 @@
   /// @brief Asks the store whether this daemon still owns the partition. Needed before the absence
   /// of a record is reported, because another owner may have written it.
   void Confirm(std::function<void(bool owned)> on_done);
+  /// @brief Admits no more turns; what is admitted goes on. Precedes a planned release.
+  void Retire() { retired_ = true; }
+  bool admits() const { return state_ == State::kServing && !retired_; }
   /// @brief Gives the partition up; appends that wait fail.
   void Release();
   /// @brief Expires, rewrites and trims; to be called every few seconds.
@@ -310,6 +314,7 @@
   std::vector<Waiting> batch_;
   Duration retry_delay_{};
   std::deque<Checkpoint> checkpoints_;
+  bool retired_ = false;
 };
 
 /// @brief Partition of a program among `count`.
--- a/src/gateway/commit_relay.cc
+++ b/src/gateway/commit_relay.cc
@@ -33,8 +33,7 @@
   const ledger::PartitionId partition = PartitionFor(pending.request);
   if (const auto serving = ownership_.Serving(partition)) {
     pending.sent_to = context_.options.self.id;
-    Record(serving, pending.request,
-           [this, id](bool durable) { OnReply({.exchange = id, .durable = durable}); });
+    Record(serving, pending.request, [this](const CommitReply& reply) { OnReply(reply); });
     return;
   }
   const auto owner = ownership_.RemoteOwner(partition);
@@ -46,32 +45,38 @@
 
 void CommitRelay::Record(const std::shared_ptr<ledger::Partition>& partition,
                          const CommitRequest& request,
-                         std::function<void(bool)> on_done) {
+                         std::function<void(const CommitReply&)> on_done) {
   ledger::Record record;
   if (request.tokens > TokenCount()) {
-    record.spend =
-        partition->ledger().AddSpent(request.program, request.tokens, context_.loop.Now());
+    record.spend = partition->ledger().Adopt(
+        {.program = request.program, .budget = request.budget, .maximum = request.tokens},
+        context_.loop.Now());
+    if (!record.spend) {
+      on_done({.exchange = request.exchange, .refused = true});
+      return;
+    }
   }
   if (!request.turns.empty()) {
     record.turn = request.turns.front();
   }
-  partition->Append(record, std::move(on_done));
+  partition->Append(record,
+                    [exchange = request.exchange, on_done = std::move(on_done)](bool durable) {
+                      on_done({.exchange = exchange, .durable = durable});
+                    });
 }
 
 void CommitRelay::Answer(const CommitRequest& request, const PeerReply& reply) {
   const auto partition = ownership_.Serving(PartitionFor(request));
   if (partition == nullptr) {
-    reply(CommitReply{.exchange = request.exchange, .durable = false});
+    reply(CommitReply{.exchange = request.exchange});
     return;
   }
-  Record(partition, request, [exchange = request.exchange, reply](bool durable) {
-    reply(CommitReply{.exchange = exchange, .durable = durable});
-  });
+  Record(partition, request, [reply](const CommitReply& answer) { reply(answer); });
 }
 
 void CommitRelay::OnReply(const CommitReply& reply) {
-  if (reply.durable) {
-    Finish(reply.exchange, true);
+  if (reply.durable || reply.refused) {
+    Finish(reply.exchange, reply.durable);
     return;
   }
   // The daemon no longer owns the partition; the next one is asked when it is known.
--- a/src/gateway/commit_relay.h
+++ b/src/gateway/commit_relay.h
@@ -37,7 +37,7 @@
   void Dispatch(ExchangeId id);
   void Record(const std::shared_ptr<ledger::Partition>& partition,
               const CommitRequest& request,
-              std::function<void(bool)> on_done);
+              std::function<void(const CommitReply&)> on_done);
   void Finish(ExchangeId id, bool durable);
   ledger::PartitionId PartitionFor(const CommitRequest& request) const;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -236,6 +236,7 @@
   drain_timer = context.loop.After(kHandOverTimeout, [this] { ReleasePartitions(); });
   // The next owner need not count what this one had reserved ahead.
   for (const auto& partition : served) {
+    partition->Retire();
     for (const ledger::ProgramSpend& spend : partition->ledger().ExactSpends()) {
       ++*pending;
       partition->Append({.spend = spend}, finish_one);
--- a/src/gateway/ownership.cc
+++ b/src/gateway/ownership.cc
@@ -85,8 +85,7 @@
 
 std::shared_ptr<ledger::Partition> Ownership::Serving(ledger::PartitionId partition) const {
   const auto found = own_.find(partition);
-  if (!serving_ || found == own_.end() ||
-      found->second->state() != ledger::Partition::State::kServing) {
+  if (!serving_ || found == own_.end() || !found->second->admits()) {
     return nullptr;
   }
   return found->second;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -151,22 +151,25 @@
 struct CommitRequest {
   ExchangeId exchange = {};
   ProgramId program = {};
-  /// Tokens that the new owner has not counted yet.
+  /// Tokens that the new owner has not counted yet, and the program's budget for them.
   TokenCount tokens = {};
+  TokenCount budget = {};
   /// At most one turn.
   std::vector<ledger::Turn> turns = {};
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, program, tokens, turns);
+    archive(exchange, program, tokens, budget, turns);
   }
 };
 
 struct CommitReply {
   ExchangeId exchange = {};
   bool durable = false;
+  /// The budget does not hold the tokens; no other owner will say otherwise.
+  bool refused = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, durable);
+    archive(exchange, durable, refused);
   }
 };
 
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -81,6 +81,11 @@
 }
 
 void TurnRun::Admit() {
+  if (!partition_->admits()) {
+    // The partition moved while the chain was searched.
+    Refuse({.status = 503, .reason = "owner_changed", .retry_after = kOwnerRetryAfter});
+    return;
+  }
   if (!request_.program.budget) {
     admitted_ = true;
     reserved_ = true;
@@ -150,13 +155,14 @@
     return;
   }
   // The partition has moved; its next owner reserves the tokens instead.
-  services_.commit_elsewhere(
-      {.program = request_.program.program, .tokens = request_.program.max_output}, deadline_,
-      [weak = weak_from_this()](bool reserved) {
-        if (const auto self = weak.lock()) {
-          self->OnReserved(reserved);
-        }
-      });
+  services_.commit_elsewhere({.program = request_.program.program,
+                              .tokens = request_.program.max_output,
+                              .budget = *request_.program.budget},
+                             deadline_, [weak = weak_from_this()](bool reserved) {
+                               if (const auto self = weak.lock()) {
+                                 self->OnReserved(reserved);
+                               }
+                             });
 }
 
 void TurnRun::OnReserved(bool durable) {
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -64,13 +64,17 @@
   return {.program = id, .spent = spent, .ceiling = RaiseCeiling(program, spent + others)};
 }
 
-ProgramSpend ProgramLedger::AddSpent(const ProgramId& id, TokenCount tokens, MonotonicTime now) {
-  Program& program = programs_[id];
+std::optional<ProgramSpend> ProgramLedger::Adopt(const TurnDemand& demand, MonotonicTime now) {
+  Program& program = programs_[demand.program];
+  if (program.spent + program.in_flight + demand.maximum > demand.budget) {
+    return std::nullopt;
+  }
   program.last_active = now;
-  program.spent += tokens;
-  return {.program = id,
-          .spent = program.spent,
-          .ceiling = RaiseCeiling(program, program.spent + program.in_flight)};
+  program.budget = demand.budget;
+  program.spent += demand.maximum;
+  return ProgramSpend{.program = demand.program,
+                      .spent = program.spent,
+                      .ceiling = RaiseCeiling(program, program.spent + program.in_flight)};
 }
 
 std::vector<ProgramSpend> ProgramLedger::ExactSpends() const {
--- a/src/ledger/program_ledger_test.cc
+++ b/src/ledger/program_ledger_test.cc
@@ -97,11 +97,22 @@
 // Guards against uncounted tokens of a turn that the former owner still streams.
 BOOST_AUTO_TEST_CASE(tokens_of_a_former_owners_turn_are_added) {
   ProgramLedger ledger;
-  const ProgramSpend spend = ledger.AddSpent(kProgram, TokenCount(100), kStart);
-  BOOST_TEST(spend.spent.value() == 100U);
+  const auto spend = ledger.Adopt(Demand(150, 100), kStart);
+  BOOST_REQUIRE(spend.has_value());
+  BOOST_TEST(spend->spent.value() == 100U);
   BOOST_TEST(std::holds_alternative<BudgetSpent>(ledger.Admit(Demand(150, 100), kStart)));
 }
 
+// Pattern: a program that loops, whose partition moves while several of its turns wait for their
+// reservation. Guards against turns that the next owner takes over beyond the budget.
+BOOST_AUTO_TEST_CASE(turns_are_adopted_within_the_budget_only) {
+  ProgramLedger ledger;
+  std::uint64_t offset = 0;
+  BOOST_TEST(AdmitDurably(ledger, Demand(250, 100), offset));
+  BOOST_TEST(ledger.Adopt(Demand(250, 100), kStart).has_value());
+  BOOST_TEST(!ledger.Adopt(Demand(250, 100), kStart).has_value());
+}
+
 // Guards against a prompt that lacks a part of what was said before.
 BOOST_AUTO_TEST_CASE(chain_is_whole_and_oldest_first_or_absent) {
   ProgramLedger ledger;
