Add the fault soak: gateway daemons as processes, faults from outside, promises checked while it runs

acaciaspring_soak runs a stand-in store, back ends and callers' programs around real daemons; signals, store faults, broken and silent links and configuration changes come by a seeded plan.

--- /dev/null
+++ b/src/soak/backend.cc
@@ -0,0 +1,79 @@
+#include "src/soak/backend.h"
+
+#include <utility>
+
+namespace acaciaspring::soak {
+
+namespace {
+
+constexpr Duration kEventGap = std::chrono::milliseconds(8);
+
+}  // namespace
+
+Backend::Backend(net::Loop& loop, Checks& checks, std::string id, std::string service)
+    : loop_(loop),
+      checks_(checks),
+      id_(std::move(id)),
+      service_(std::move(service)),
+      server_(loop,
+              {.listen = {.ip = "127.0.0.1", .port = 0}},
+              [this](const net::HttpRequest& request, const net::HttpResponderPtr& responder) {
+                Handle(request, responder);
+              }),
+      link_(loop, server_.address()) {}
+
+std::string Backend::RegisterEntry() {
+  return R"({"service":")" + service_ + R"(","address":")" + link_.address().ToString() +
+         R"(","zone":"z1","version":"v1","slots":8,"state":")" +
+         (draining_ ? "draining" : "ready") + R"(","cold_left_ms":0,"born":1,"sequence":)" +
+         std::to_string(++sequence_) + "}";
+}
+
+void Backend::Handle(const net::HttpRequest& request, const net::HttpResponderPtr& responder) {
+  const std::string id(net::FindHeader(request.headers, "acaciaspring-request-id"));
+  const auto expected = net::FindHeader(request.headers, "acaciaspring-expect-instance");
+  if (expected != id_) {
+    responder->Respond(421, {{"acaciaspring-instance-id", id_}}, "");
+    return;
+  }
+  if (full_) {
+    responder->Respond(503, {{"acaciaspring-not-executed", "1"}, {"acaciaspring-request-id", id}},
+                       "");
+    return;
+  }
+  checks_.OnRun(id, request.body);
+  const net::Headers headers = {{"acaciaspring-request-id", id},
+                                {"acaciaspring-server-stamp", id_}};
+  const bool breaks = break_every_ != 0 && ++runs_ % break_every_ == 0;
+  if (service_ == kEngineService) {
+    responder->Start(200, headers);
+    SendEvent(responder, request.body, breaks ? kMaxEvents + 1 : 0);
+  } else if (breaks) {
+    responder->Abort();
+  } else {
+    responder->Respond(200, headers, "done:" + id);
+  }
+}
+
+void Backend::SendEvent(const net::HttpResponderPtr& responder,
+                        const std::string& prompt,
+                        std::uint32_t index) {
+  if (index > kMaxEvents) {
+    responder->Write("id: 0\ndata: " + EventData(prompt, 0) + "\n\nid: 1\nda");
+    responder->Abort();
+    return;
+  }
+  if (index == EventCount(prompt)) {
+    responder->End();
+    return;
+  }
+  responder->Write("id: " + std::to_string(index) + "\ndata: " + EventData(prompt, index) + "\n\n");
+  const std::uint64_t timer = next_timer_++;
+  timers_[timer] = loop_.After(kEventGap, [this, responder, prompt, index, timer] {
+    const net::Timer done = std::move(timers_[timer]);
+    timers_.erase(timer);
+    SendEvent(responder, prompt, index + 1);
+  });
+}
+
+}  // namespace acaciaspring::soak
--- /dev/null
+++ b/src/soak/soak.h
@@ -0,0 +1,70 @@
+#ifndef ACACIASPRING_SRC_SOAK_SOAK_H_
+#define ACACIASPRING_SRC_SOAK_SOAK_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "fakes/fake_store.h"
+#include "src/soak/backend.h"
+#include "src/soak/daemon_process.h"
+#include "src/soak/program_client.h"
+
+namespace acaciaspring::soak {
+
+struct SoakOptions {
+  std::uint64_t seed = 1;
+  std::string binary = {};
+  /// Folder for settings and logs of the daemons.
+  std::string directory = {};
+  std::uint32_t daemons = 4;
+  std::uint32_t programs = 12;
+  /// Time with faults; a calm phase follows, in which every program must complete.
+  Duration duration = std::chrono::seconds(20);
+};
+
+/// @brief Runs gateway daemons as processes, injects faults from outside them by a seeded plan and
+/// checks what callers and back ends see.
+class Soak {
+ public:
+  explicit Soak(SoakOptions options);
+  /// @brief Returns the violations.
+  std::vector<std::string> Run();
+
+ private:
+  void WriteManifest();
+  void WriteRegister();
+  void StartProgram(bool loops);
+  void InjectFault();
+  void FaultOnDaemon();
+  void FaultOnStore();
+  void FaultOnBackend();
+  void EndFaults();
+  void AfterFault(std::function<void()> end);
+  void SetStoreFault(const std::string& name, int value);
+  void RunFor(Duration duration);
+  void CheckCalm();
+  std::uint64_t Draw(std::uint64_t below) { return random_() % below; }
+
+  SoakOptions options_;
+  std::mt19937_64 random_;
+  net::Loop loop_;
+  Checks checks_;
+  fakes::FakeStore store_;
+  net::HttpClient client_;
+  std::vector<std::unique_ptr<Backend>> backends_;
+  std::vector<std::unique_ptr<DaemonProcess>> daemons_;
+  std::map<std::uint64_t, std::unique_ptr<ProgramClient>> programs_;
+  std::map<std::uint64_t, net::Timer> fault_ends_;
+  std::uint64_t next_program_ = 0;
+  std::uint64_t next_fault_ = 0;
+  std::uint64_t manifest_version_ = 0;
+  bool faults_on_ = false;
+  std::uint64_t calm_completed_ = 0;
+};
+
+}  // namespace acaciaspring::soak
+
+#endif  // ACACIASPRING_SRC_SOAK_SOAK_H_
--- /dev/null
+++ b/src/soak/tcp_proxy.h
@@ -0,0 +1,52 @@
+#ifndef ACACIASPRING_SRC_SOAK_TCP_PROXY_H_
+#define ACACIASPRING_SRC_SOAK_TCP_PROXY_H_
+
+#include <uv.h>
+
+#include <memory>
+#include <set>
+
+#include "acaciaspring/net.h"
+
+namespace acaciaspring::soak {
+
+enum class LinkFault : std::uint8_t {
+  kNone,
+  /// Bytes arrive late.
+  kDelayed,
+  /// Bytes towards the server, or all bytes, are held until the fault ends.
+  kOneWay,
+  kSilent,
+};
+
+/// @brief A TCP relay on loopback that misbehaves on demand.
+class TcpProxy {
+ public:
+  /// @brief Listens on a free port of 127.0.0.1.
+  TcpProxy(net::Loop& loop, net::Address target);
+  TcpProxy(const TcpProxy&) = delete;
+  TcpProxy& operator=(const TcpProxy&) = delete;
+  ~TcpProxy();
+
+  net::Address address() const { return address_; }
+  /// @brief Held bytes flow again when the fault ends.
+  void SetFault(LinkFault fault);
+  /// @brief Resets the open connections.
+  void ResetConnections();
+
+ private:
+  class Relay;
+
+  void Remove(Relay* relay);
+
+  net::Loop& loop_;
+  net::Address target_;
+  net::Address address_;
+  std::unique_ptr<uv_tcp_t> listener_;
+  std::set<std::shared_ptr<Relay>> relays_;
+  LinkFault fault_ = LinkFault::kNone;
+};
+
+}  // namespace acaciaspring::soak
+
+#endif  // ACACIASPRING_SRC_SOAK_TCP_PROXY_H_
