--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -116,9 +116,10 @@
 using Admission = std::variant<SpendGranted, SpendNeedsRecord, BudgetSpent>;
 
 struct ProgramLedgerOptions {
-  /// Turns beyond the current ones that one record covers; saves an append for most turns. A lost
-  /// owner's successor counts them as spent.
-  std::uint32_t turns_ahead = 2;
+  /// Share of the budget, and at least one turn, that a record covers beyond the current turns. It
+  /// saves appends and lets programs go on while the store is away; a lost owner's successor counts
+  /// it as spent. Programs use 15 to 40 % of their budgets.
+  double budget_share_ahead = 0.25;
   /// Time beyond its retention for which a turn is kept, because wall clocks differ.
   Duration retention_margin = std::chrono::seconds(12);
   /// Time without a turn after which a program is forgotten.
@@ -238,6 +239,8 @@
   /// Wait before an append or read is repeated; doubles up to the maximum.
   Duration retry_delay = std::chrono::milliseconds(30);
   Duration max_retry_delay = std::chrono::milliseconds(400);
+  /// Records that can be dropped before the store is asked to; the store drops old ones by itself.
+  std::uint64_t min_trim_records = 2000;
   /// Age at which live records are written again; half of the store's retention.
   Duration rewrite_age = std::chrono::seconds(150);
 };
@@ -314,6 +317,7 @@
   std::vector<Waiting> batch_;
   Duration retry_delay_{};
   std::deque<Checkpoint> checkpoints_;
+  RecordOffset trimmed_before_{};
   bool retired_ = false;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,8 +18,8 @@
 
 namespace {
 
-// Load of other daemons and owners of partitions are known this late at most.
-constexpr Duration kHeartbeatPeriod = std::chrono::milliseconds(200);
+// A daemon without a configuration has read one by then unless the store is away.
+constexpr Duration kConfigurationRetryAfter = std::chrono::milliseconds(200);
 constexpr Duration kMaintenancePeriod = std::chrono::seconds(5);
 // Some appends; beyond it the store is away.
 constexpr Duration kHandOverTimeout = std::chrono::milliseconds(400);
@@ -47,6 +47,7 @@
                    std::function<void(const Member&)> on_member_gone);
   void OnOwnershipChanged();
   void Heartbeat();
+  void ScheduleHeartbeat();
   void Handle(CallerRequest request, net::HttpResponderPtr responder);
   void HandleTurn(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
   void HandleCall(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
@@ -98,10 +99,17 @@
           .on_gone = std::move(on_member_gone),
           .on_asker_lost = [this](const DaemonId& daemon) { router.OnAskerLost(daemon); }});
   links->SetMembers(members);
-  heartbeat = context.loop.Every(kHeartbeatPeriod, [this] { Heartbeat(); });
+  ScheduleHeartbeat();
   maintenance = context.loop.Every(kMaintenancePeriod, [this] { ownership.Maintain(); });
 }
 
+void Gateway::Impl::ScheduleHeartbeat() {
+  heartbeat = context.loop.After(links->HeartbeatPeriod(), [this] {
+    Heartbeat();
+    ScheduleHeartbeat();
+  });
+}
+
 void Gateway::Impl::OnOwnershipChanged() {
   // Called from within a partition, which must not be re-entered.
   context.loop.Post([this] {
@@ -121,7 +129,8 @@
 std::optional<Refusal> Gateway::Impl::Check(const CallerRequest& request,
                                             const Route* route) const {
   if (!configuration) {
-    return Refusal{.status = 503, .reason = "no_configuration", .retry_after = kHeartbeatPeriod};
+    return Refusal{
+        .status = 503, .reason = "no_configuration", .retry_after = kConfigurationRetryAfter};
   }
   if (HeaderBytes(request.headers) > configuration->limits.max_header_bytes) {
     return Refusal{.status = 431, .reason = "headers_too_large"};
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -8,8 +8,12 @@
 
 namespace {
 
-// Five heartbeats; a daemon that is silent for longer has stopped, is paused or is cut off.
-constexpr Duration kPeerSilence = std::chrono::milliseconds(1000);
+// Load of other daemons and owners of partitions are known this late at most in a small fleet.
+constexpr Duration kMinHeartbeatPeriod = std::chrono::milliseconds(200);
+// At 180 heartbeats a second a daemon with a third of a core spends about 3 % of it on them.
+constexpr Duration kHeartbeatPerPeer = std::chrono::microseconds(5500);
+// Heartbeats without which a daemon has stopped, is paused or is cut off.
+constexpr int kMissedHeartbeats = 5;
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
 // The first attempt after a loss tells an ended process from a broken connection.
 constexpr Duration kFirstReconnectDelay = std::chrono::milliseconds(20);
@@ -193,7 +197,7 @@
     const auto heard = heard_.find(id);
     const MonotonicTime last =
         std::max(link.opened_at, heard == heard_.end() ? MonotonicTime() : heard->second.at);
-    if (now - last > kPeerSilence) {
+    if (now - last > HeartbeatPeriod() * kMissedHeartbeats) {
       silent.push_back(id);
       continue;
     }
@@ -205,11 +209,16 @@
   }
 }
 
+Duration PeerLinks::HeartbeatPeriod() const {
+  return std::max(kMinHeartbeatPeriod,
+                  kHeartbeatPerPeer * static_cast<std::int64_t>(outgoing_.size()));
+}
+
 std::vector<Member> PeerLinks::ReadyMembers() const {
   std::vector<Member> ready;
   const MonotonicTime now = context_.loop.Now();
   for (const auto& [id, heard] : heard_) {
-    if (heard.ready && now - heard.at <= kPeerSilence) {
+    if (heard.ready && now - heard.at <= HeartbeatPeriod() * kMissedHeartbeats) {
       ready.push_back(heard.member);
     }
   }
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -45,6 +45,9 @@
   bool IsOpen(const DaemonId& daemon) const;
   /// @brief Sends a status to all and drops daemons that have been silent.
   void Heartbeat(const PeerStatus& status);
+  /// @brief Time between heartbeats; grows with the number of daemons, so that one daemon's traffic
+  /// for control stays bounded.
+  Duration HeartbeatPeriod() const;
   /// @brief Daemons whose last status is recent and says that they are ready.
   std::vector<Member> ReadyMembers() const;
   /// @brief Daemons with an open connection.
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -11,6 +11,8 @@
 // after a crash takes 1.5 to 2 s.
 constexpr int kHoldShare = 2;
 constexpr Duration kOwnerRetryAfter = std::chrono::milliseconds(300);
+// The owner's answer, which knows whether the turn may have run, arrives before the deadline here.
+constexpr Duration kOwnerMargin = std::chrono::milliseconds(20);
 // Sessions whose last endpoint is remembered; beyond it all are forgotten.
 constexpr std::size_t kMaxRememberedSessions = 50'000;
 
@@ -75,7 +77,8 @@
   PeerLinks* links = links_();
   if (owner && links != nullptr) {
     turn.request.left_us =
-        std::chrono::duration_cast<Duration>(turn.deadline - context_.loop.Now()).count();
+        std::chrono::duration_cast<Duration>(turn.deadline - kOwnerMargin - context_.loop.Now())
+            .count();
     if (links->Send(*owner, turn.request)) {
       turn.state = State::kRemote;
       turn.owner = *owner;
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -9,6 +9,8 @@
 
 // Bound for one event of a stream; real ones have some hundred bytes.
 constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
+// The call to the endpoint ends first, because only it knows whether the turn may have run.
+constexpr Duration kCallMargin = std::chrono::milliseconds(20);
 // A partition moves within about this time.
 constexpr Duration kOwnerRetryAfter = std::chrono::milliseconds(300);
 
@@ -133,7 +135,7 @@
                 .target = request_.target,
                 .headers = request_.headers,
                 .body = chain_body_ + request_.body,
-                .deadline = deadline_,
+                .deadline = deadline_ - kCallMargin,
                 .preferred = services_.preferred_endpoint(request_.program)};
   chain_body_.clear();
   call_ = std::make_shared<EndpointCall>(
@@ -360,18 +362,21 @@
                ? std::int64_t{-1}
                : std::chrono::duration_cast<std::chrono::milliseconds>(at - started_at_).count();
   };
-  context_.events.Write("turn",
-                        {{"id", request_.id.value()},
-                         {"program", request_.program.program.value()},
-                         {"partition", static_cast<std::int64_t>(partition_->id().value())},
-                         {"epoch", static_cast<std::int64_t>(partition_->epoch().value())},
-                         {"endpoint", call_ == nullptr ? std::string() : call_->endpoint().value()},
-                         {"status", static_cast<std::int64_t>(status_)},
-                         {"outcome", std::string(outcome)},
-                         {"first_event_ms", ms(first_event_at_)},
-                         {"total_ms", ms(now)},
-                         {"deadline_ms", request_.left_us / 1000},
-                         {"events", static_cast<std::int64_t>(events_passed_)}});
+  context_.events.Write(
+      "turn", {{"id", request_.id.value()},
+               {"program", request_.program.program.value()},
+               {"partition", static_cast<std::int64_t>(partition_->id().value())},
+               {"epoch", static_cast<std::int64_t>(partition_->epoch().value())},
+               {"endpoint", call_ == nullptr ? std::string() : call_->endpoint().value()},
+               {"status", static_cast<std::int64_t>(status_)},
+               {"outcome", std::string(outcome)},
+               {"first_event_ms", ms(first_event_at_)},
+               {"total_ms", ms(now)},
+               {"deadline_ms", request_.left_us / 1000},
+               {"events", static_cast<std::int64_t>(events_passed_)},
+               {"max_output", static_cast<std::int64_t>(request_.program.max_output.value())},
+               {"budget", static_cast<std::int64_t>(
+                              request_.program.budget.value_or(TokenCount()).value())}});
   if (const auto on_ended = std::exchange(on_ended_, nullptr)) {
     on_ended();
   }
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -238,7 +238,11 @@
       Append(record, [](bool) {});
     }
   }
-  store_.Trim(id_, ledger_.OldestNeeded().value_or(next_offset_));
+  const RecordOffset needed = ledger_.OldestNeeded().value_or(next_offset_);
+  if (needed.value() >= trimmed_before_.value() + options_.min_trim_records) {
+    trimmed_before_ = needed;
+    store_.Trim(id_, needed);
+  }
 }
 
 Duration Partition::append_delay() const {
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -26,7 +26,10 @@
 }
 
 TokenCount ProgramLedger::RaiseCeiling(Program& program, TokenCount needed) const {
-  const TokenCount ahead(program.largest_turn.value() * options_.turns_ahead);
+  const TokenCount ahead =
+      std::max(program.largest_turn,
+               TokenCount(static_cast<std::uint64_t>(static_cast<double>(program.budget.value()) *
+                                                     options_.budget_share_ahead)));
   const TokenCount wanted = std::max(needed, std::min(needed + ahead, program.budget));
   // Records are applied in order, so a later one must not lower what turns already rely on.
   program.queued_ceiling = std::max(program.queued_ceiling, wanted);
