--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -225,8 +225,8 @@
                     std::function<void(const ReadResult&)> on_done) = 0;
   /// @brief Drops the records before an offset; a failure is not reported.
   virtual void Trim(PartitionId partition, RecordOffset before) = 0;
-  /// @brief Calls back after a delay.
-  virtual void After(Duration delay, std::function<void()> callback) = 0;
+  /// @brief Calls back after a delay, or earlier when the store answers again after an outage.
+  virtual void RetryAfter(Duration delay, std::function<void()> callback) = 0;
   virtual MonotonicTime Now() const = 0;
   virtual WallTime WallNow() const = 0;
 };
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -30,7 +30,7 @@
 }
 
 void Partition::RetryLater(void (Partition::*operation)()) {
-  store_.After(retry_delay_, [weak = weak_from_this(), operation] {
+  store_.RetryAfter(retry_delay_, [weak = weak_from_this(), operation] {
     if (const auto self = weak.lock(); self && self->state_ != State::kLost) {
       (*self.*operation)();
     }
--- a/src/ledger/test_store.h
+++ b/src/ledger/test_store.h
@@ -70,7 +70,7 @@
     logs_[partition].TrimBefore(before.value());
   }
 
-  void After(Duration delay, std::function<void()> callback) override {
+  void RetryAfter(Duration delay, std::function<void()> callback) override {
     timers_.emplace(now_ + delay, std::move(callback));
   }
   MonotonicTime Now() const override { return now_; }
@@ -105,7 +105,7 @@
   }
 
  private:
-  void Post(std::function<void()> callback) { After(kAnswerTime, std::move(callback)); }
+  void Post(std::function<void()> callback) { RetryAfter(kAnswerTime, std::move(callback)); }
 
   AppendResult Serve(PartitionId partition,
                      OwnerEpoch epoch,
