--- a/include/acaciaspring/ctl.h
+++ b/include/acaciaspring/ctl.h
@@ -6,6 +6,7 @@
 #include <ostream>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "acaciaspring/base.h"
 #include "acaciaspring/net.h"
@@ -35,7 +36,13 @@
 /// @brief Starts the graceful shutdown of the daemon that is asked.
 struct Drain {};
 
-using Command = std::variant<Check, Diff, Apply, Status, Programs, Entries, Drain>;
+/// @brief Shows what log files of gateway daemons say about one request, and the cause of its end.
+struct Explain {
+  std::string request_id;
+  std::vector<std::string> log_files;
+};
+
+using Command = std::variant<Check, Diff, Apply, Status, Programs, Entries, Drain, Explain>;
 
 struct Options {
   net::Address server;
@@ -58,6 +65,11 @@
   kNotKnown = 4,
 };
 
+/// @brief Explains a request from the lines of one or more logs; kFailed if none is about it.
+ExitCode ExplainRequest(const std::string& request_id,
+                        const std::vector<std::string>& lines,
+                        std::ostream& out);
+
 ExitCode Run(const Command& command, const Options& options, std::ostream& out, std::ostream& err);
 
 }  // namespace acaciaspring::ctl
--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -12,6 +12,7 @@
 #include "acaciaspring/base.h"
 #include "acaciaspring/ledger.h"
 #include "acaciaspring/net.h"
+#include "acaciaspring/telemetry.h"
 
 namespace acaciaspring::gateway {
 
@@ -200,6 +201,8 @@
   /// can be released.
   void Drain(std::function<void()> on_idle);
   std::size_t open_requests() const;
+  /// @brief The structured log of the process.
+  telemetry::EventLog& events();
   /// @brief Text of the metrics.
   std::string MetricsText() const;
 
--- a/src/ctl/run.cc
+++ b/src/ctl/run.cc
@@ -1,3 +1,4 @@
+#include <fstream>
 #include <iomanip>
 #include <sstream>
 
@@ -137,6 +138,21 @@
     return ExitCode::kOk;
   }
 
+  ExitCode operator()(const Explain& command) {
+    std::vector<std::string> lines;
+    for (const std::string& path : command.log_files) {
+      std::ifstream file(path);
+      if (!file) {
+        err_ << "cannot read " << path << "\n";
+        return ExitCode::kInvalid;
+      }
+      for (std::string line; std::getline(file, line);) {
+        lines.push_back(std::move(line));
+      }
+    }
+    return ExplainRequest(command.request_id, lines, out_);
+  }
+
   ExitCode operator()(const Drain&) {
     const Answer answer = SendRequest(options_, "POST", "/v1/admin/drain", "");
     if (answer.status != 202) {
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -57,6 +57,7 @@
   tried_.push_back(endpoint->id);
   ++attempts_;
   rejected_ = false;
+  status_ = 0;
   held_.clear();
   in_flight_ = true;
   context_.endpoints.OnStarted(endpoint_);
@@ -229,8 +230,21 @@
   Finish(outcome);
 }
 
+void EndpointCall::LogAttempt(CallVerdict verdict) const {
+  context_.events.Write("attempt_failed",
+                        {{"id", plan_.id.value()},
+                         {"endpoint", endpoint_.value()},
+                         {"why", verdict == CallVerdict::kRejected ? "not_executed" : "failed"},
+                         {"status", static_cast<std::int64_t>(status_)},
+                         {"attempts", static_cast<std::int64_t>(attempts_)},
+                         {"runs", static_cast<std::int64_t>(runs_)}});
+}
+
 void EndpointCall::EndAttempt(CallVerdict verdict) {
   in_flight_ = false;
+  if (verdict == CallVerdict::kRejected || verdict == CallVerdict::kFailed) {
+    LogAttempt(verdict);
+  }
   attempt_timer_.Cancel();
   context_.endpoints.OnFinished(endpoint_, verdict, context_.loop.Now());
 }
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -58,6 +58,7 @@
   /// @brief Starts another attempt, or ends with `outcome` if none is left.
   void TryAgain(const Outcome& outcome);
   void EndAttempt(CallVerdict verdict);
+  void LogAttempt(CallVerdict verdict) const;
   void Deliver();
   void Finish(const Outcome& outcome);
   bool IsStream() const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -53,6 +53,7 @@
   void HandleCall(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
   std::optional<Refusal> Check(const CallerRequest& request, const Route* route) const;
   Duration TimeFor(const CallerRequest& request, const Route& route) const;
+  void LogEndpoints(const std::vector<RegisteredEndpoint>& listed);
   void HandOver();
   void ReleasePartitions();
 
@@ -63,6 +64,8 @@
   Ownership ownership;
   std::unique_ptr<PeerLinks> links;
   std::vector<Member> members;
+  /// States of the register as they were logged last.
+  std::unordered_map<EndpointId, EndpointState> endpoint_states;
   TurnRouter router;
   std::set<std::shared_ptr<EndpointCall>> calls;
   net::Timer heartbeat;
@@ -233,6 +236,28 @@
   call->Start();
 }
 
+void Gateway::Impl::LogEndpoints(const std::vector<RegisteredEndpoint>& listed) {
+  std::unordered_map<EndpointId, EndpointState> states;
+  for (const RegisteredEndpoint& endpoint : listed) {
+    states[endpoint.id] = endpoint.state;
+    const auto known = endpoint_states.find(endpoint.id);
+    if (known == endpoint_states.end() || known->second != endpoint.state) {
+      context.events.Write(
+          "endpoint", {{"endpoint", endpoint.id.value()},
+                       {"service", endpoint.service.value()},
+                       {"address", endpoint.address.ToString()},
+                       {"started_at_ms", endpoint.started_at_ms},
+                       {"state", endpoint.state == EndpointState::kReady ? "ready" : "draining"}});
+    }
+  }
+  for (const auto& [id, state] : endpoint_states) {
+    if (!states.contains(id)) {
+      context.events.Write("endpoint", {{"endpoint", id.value()}, {"state", "gone"}});
+    }
+  }
+  endpoint_states = std::move(states);
+}
+
 void Gateway::Impl::HandOver() {
   const auto served = ownership.ServedPartitions();
   const auto pending = std::make_shared<std::size_t>(1);
@@ -294,6 +319,7 @@
 
 void Gateway::SetEndpoints(std::vector<RegisteredEndpoint> endpoints) {
   impl_->endpoints_known = true;
+  impl_->LogEndpoints(endpoints);
   impl_->context.endpoints.SetEndpoints(std::move(endpoints));
 }
 
@@ -355,6 +381,10 @@
   return impl_->calls.size() + impl_->router.open_turns();
 }
 
+telemetry::EventLog& Gateway::events() {
+  return impl_->context.events;
+}
+
 std::string Gateway::MetricsText() const {
   return impl_->context.metrics.Text();
 }
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -287,6 +287,7 @@
 }
 
 void TurnRun::RecordTurn() {
+  recording_since_ = context_.loop.Now();
   for (ledger::Turn& turn : imported_) {
     partition_->Append({.turn = std::move(turn)}, [](bool) {});
   }
@@ -412,6 +413,7 @@
                {"status", static_cast<std::int64_t>(status_)},
                {"outcome", std::string(outcome)},
                {"first_event_ms", ms(first_event_at_)},
+               {"recording_since_ms", ms(recording_since_)},
                {"total_ms", ms(now)},
                {"deadline_ms", request_.left_us / 1000},
                {"events", static_cast<std::int64_t>(events_passed_)},
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -78,6 +78,8 @@
   std::function<void()> on_ended_;
   MonotonicTime started_at_;
   MonotonicTime first_event_at_;
+  /// The turn's record was handed to the ledger.
+  MonotonicTime recording_since_;
   MonotonicTime deadline_;
   net::Timer deadline_timer_;
   std::shared_ptr<EndpointCall> call_;
--- a/src/main/acaciaspringctl.cc
+++ b/src/main/acaciaspringctl.cc
@@ -20,7 +20,9 @@
     "  status        members, roles, revision in force, queues and log health\n"
     "  programs      list programs\n"
     "  entries       addresses that callers may use\n"
-    "  drain         start the graceful shutdown of the daemon given by --server\n\n"
+    "  drain         start the graceful shutdown of the daemon given by --server\n"
+    "  explain ID LOG...  what the logs of gateway daemons say about a request, and the cause of "
+    "its end\n\n"
     "Exit codes: 0 done, 1 refused or no answer, 2 mistakes in the command line or folder,\n"
     "3 conflict with another change, 4 outcome of apply not known.\n\n"
     "The operator key is read from the environment variable ACACIASPRING_OPERATOR_KEY.\n\nOptions";
@@ -42,6 +44,9 @@
     }
     return apply;
   }
+  if (name == "explain" && !folder.empty() && values.contains("logs")) {
+    return ctl::Explain{folder, values["logs"].as<std::vector<std::string>>()};
+  }
   if (!folder.empty()) {
     return std::nullopt;
   }
@@ -69,9 +74,9 @@
       "ended", "programs: include ended programs")("json", "status, programs: print JSON");
   options::options_description all;
   all.add(visible).add_options()("command", options::value<std::string>())(
-      "folder", options::value<std::string>());
+      "folder", options::value<std::string>())("logs", options::value<std::vector<std::string>>());
   options::positional_options_description positional;
-  positional.add("command", 1).add("folder", 1);
+  positional.add("command", 1).add("folder", 1).add("logs", -1);
   options::variables_map values;
   options::store(options::command_line_parser(argc, argv).options(all).positional(positional).run(),
                  values);
