--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -50,7 +50,7 @@
 /// between them.
 class EndpointTable {
  public:
-  EndpointTable(AvailabilityZone zone, EndpointTableOptions options = {})
+  explicit EndpointTable(AvailabilityZone zone, EndpointTableOptions options = {})
       : zone_(std::move(zone)), options_(options) {}
 
   void SetEndpoints(std::vector<RegisteredEndpoint> endpoints);
