--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -45,7 +45,7 @@
 add_test(NAME load COMMAND load_test --log_level=test_suite)
 
 # The fault soak of the gateway. Its library is no package either.
-file(GLOB soak_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/src/soak/*.cc)
+file(GLOB soak_sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/platform/soak/*.cc)
 add_library(acaciaspring_soak_tool STATIC ${soak_sources})
 target_link_libraries(acaciaspring_soak_tool PUBLIC acaciaspring_fake_service acaciaspring_net PkgConfig::JSONCPP)
 acaciaspring_program(acaciaspring_soak SOURCES src/main/soak.cc DEPENDS acaciaspring_soak_tool PkgConfig::GLOG)
--- a/src/main/soak.cc
+++ b/src/main/soak.cc
@@ -4,7 +4,7 @@
 #include <filesystem>
 #include <iostream>
 
-#include "src/soak/soak.h"
+#include "platform/soak/soak.h"
 
 namespace {
 
