--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -75,12 +75,12 @@
                                 self->Admit();
                               },
                               [&](const ChainUnknown&) {
-                                self->Refuse({.status = 404, .reason = "unknown_turn"});
+                                self->EndWithout({.status = 404, .reason = "unknown_turn"});
                               },
                               [&](const ChainUncertain&) {
-                                self->Refuse({.status = 503,
-                                              .reason = "turn_search_incomplete",
-                                              .retry_after = kOwnerRetryAfter});
+                                self->EndWithout({.status = 503,
+                                                  .reason = "turn_search_incomplete",
+                                                  .retry_after = kOwnerRetryAfter});
                               }},
                    result);
       });
@@ -89,7 +89,7 @@
 void TurnRun::Admit() {
   if (!partition_->admits()) {
     // The partition moved while the chain was searched.
-    Refuse({.status = 503, .reason = "owner_changed", .retry_after = kOwnerRetryAfter});
+    EndWithout({.status = 503, .reason = "owner_changed", .retry_after = kOwnerRetryAfter});
     return;
   }
   if (!request_.program.budget) {
@@ -111,7 +111,7 @@
                            {"spent", static_cast<std::int64_t>(spent->spent.value())},
                            {"in_flight", static_cast<std::int64_t>(spent->in_flight.value())},
                            {"epoch", static_cast<std::int64_t>(partition_->epoch().value())}});
-    Refuse({.status = 402, .reason = "budget_spent"});
+    EndWithout({.status = 402, .reason = "budget_spent"});
     return;
   }
   admitted_ = true;
@@ -372,10 +372,6 @@
                   : RefusalFor(NotRun{.reason = NotRunReason::kDeadlineExceeded}));
 }
 
-void TurnRun::Refuse(const Refusal& refusal) {
-  EndWithout(refusal);
-}
-
 void TurnRun::EndWithout(const Refusal& refusal) {
   const auto self = shared_from_this();
   Settle();
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -66,7 +66,6 @@
   void OnDeadline();
   void Settle();
   void CountElsewhere();
-  void Refuse(const Refusal& refusal);
   void EndWithout(const Refusal& refusal);
   void Ended(std::string_view outcome);
 
