Release a partition when a peer serves it under a higher epoch

Cause: a daemon that the store turns away (platform_down "nodes", core_cut) is not told that its partitions were dealt to others. Ruled out: slow takeover, because turns of other entry daemons went to the new owners at once. Change: Ownership releases a partition that a peer serves under a higher epoch; waiting records go to that peer. A partition that was lost and is dealt here again without a visible change of the assignment is taken over under the group's current generation; it had no owner before.

--- a/cmake/fakes.cmake
+++ b/cmake/fakes.cmake
@@ -25,9 +25,10 @@
   fakes/log_stream_test.cc
   fakes/prefix_cache_test.cc fakes/store_model_test.cc $<TARGET_OBJECTS:test_main>)
 target_link_libraries(fakes_test PRIVATE acaciaspring_fake_service Boost::unit_test_framework)
-# The contract tests of the store client run against the stand-in, the ledger's against its model.
+# The contract tests of the store client run against the stand-in, those of ledger and gateway against its model.
 target_link_libraries(platform_test PRIVATE acaciaspring_fake_service)
 target_link_libraries(ledger_test PRIVATE acaciaspring_fake_models)
+target_link_libraries(gateway_test PRIVATE acaciaspring_fake_models)
 add_test(NAME fakes COMMAND fakes_test --log_level=test_suite)
 
 
--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -189,7 +189,8 @@
   /// @brief The whole register; endpoints that are not listed get no more requests.
   void SetEndpoints(std::vector<RegisteredEndpoint> endpoints);
   void SetMembers(std::vector<Member> members);
-  void SetAssignment(const std::vector<AssignedPartition>& assigned);
+  /// @brief The partitions of this daemon as of `generation` of the group.
+  void SetAssignment(const std::vector<AssignedPartition>& assigned, ledger::OwnerEpoch generation);
 
   void Handle(CallerRequest request, net::HttpResponderPtr responder);
   /// @brief Entries for a caller of this zone; empty while none is known to be ready.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -330,8 +330,9 @@
   }
 }
 
-void Gateway::SetAssignment(const std::vector<AssignedPartition>& assigned) {
-  impl_->ownership.SetAssignment(assigned);
+void Gateway::SetAssignment(const std::vector<AssignedPartition>& assigned,
+                            ledger::OwnerEpoch generation) {
+  impl_->ownership.SetAssignment(assigned, generation);
 }
 
 void Gateway::Handle(CallerRequest request, net::HttpResponderPtr responder) {
--- a/src/gateway/ownership.cc
+++ b/src/gateway/ownership.cc
@@ -28,10 +28,19 @@
                      std::function<void()> on_changed)
     : context_(context), store_(store), on_changed_(std::move(on_changed)) {}
 
-void Ownership::SetAssignment(const std::vector<AssignedPartition>& assigned) {
+void Ownership::SetAssignment(const std::vector<AssignedPartition>& assigned,
+                              ledger::OwnerEpoch generation) {
   std::unordered_map<ledger::PartitionId, ledger::OwnerEpoch> wanted;
   for (const AssignedPartition& entry : assigned) {
-    wanted[entry.partition] = entry.epoch;
+    const auto own = own_.find(entry.partition);
+    if (own == own_.end() || own->second->epoch() < entry.epoch) {
+      wanted[entry.partition] = entry.epoch;
+    } else if (own->second->state() == ledger::Partition::State::kLost) {
+      // It moved away and back between two answers of the group.
+      wanted[entry.partition] = std::max(own->second->epoch(), generation);
+    } else {
+      wanted[entry.partition] = own->second->epoch();
+    }
   }
   std::vector<std::shared_ptr<ledger::Partition>> released;
   for (auto it = own_.begin(); it != own_.end();) {
@@ -71,11 +80,27 @@
 
 void Ownership::OnStatus(const DaemonId& daemon, const PeerStatus& status) {
   std::erase_if(remote_, [&](const auto& entry) { return entry.second.daemon == daemon; });
+  std::vector<std::shared_ptr<ledger::Partition>> replaced;
   for (const OwnedPartition& owned : status.owned) {
     const auto known = remote_.find(owned.partition);
     if (known == remote_.end() || known->second.epoch < owned.epoch) {
       remote_[owned.partition] = {.daemon = daemon, .epoch = owned.epoch};
     }
+    // While the store turns this daemon away, it says nothing of a new owner.
+    const auto own = own_.find(owned.partition);
+    if (own != own_.end() && own->second->epoch() < owned.epoch &&
+        own->second->state() != ledger::Partition::State::kLost) {
+      replaced.push_back(own->second);
+    }
+  }
+  for (const auto& partition : replaced) {
+    context_.events.Write(
+        "partition_replaced",
+        {{"partition", partition->id().value()},
+         {"epoch", static_cast<std::int64_t>(partition->epoch().value())},
+         {"owner", daemon.value()},
+         {"owner_epoch", static_cast<std::int64_t>(remote_.at(partition->id()).epoch.value())}});
+    partition->Release();
   }
 }
 
--- a/src/gateway/ownership.h
+++ b/src/gateway/ownership.h
@@ -18,8 +18,11 @@
   /// @brief `on_changed` is called when a partition starts to be served here or is lost.
   Ownership(Context& context, ledger::PartitionStore& store, std::function<void()> on_changed);
 
-  void SetAssignment(const std::vector<AssignedPartition>& assigned);
-  /// @brief What another daemon says it serves replaces what it said before.
+  /// @brief `generation` is the group's when it dealt these partitions. A partition that was lost
+  /// and is dealt here nevertheless is taken over again under it.
+  void SetAssignment(const std::vector<AssignedPartition>& assigned, ledger::OwnerEpoch generation);
+  /// @brief What another daemon says it serves replaces what it said before. A partition that it
+  /// serves under a higher epoch is released here.
   void OnStatus(const DaemonId& daemon, const PeerStatus& status);
   void ForgetDaemon(const DaemonId& daemon);
 
