Record turns in another partition while their own is away

Change: a turn whose record has waited 300 ms, or whose partition is known to be away, is recorded with its whole chain in a partition that takes records: one of this daemon, else of a peer that says it has one. The owner knows the turn from then on; a later owner finds it by its search of all partitions. Spending stays in the program's own partition, so turns still stop one turn beyond the recorded ceiling. A turn recorded elsewhere and its successor recorded by the next owner of the partition left a chain that no partition held whole, and its absence was claimed. Now the next owner gets all turns of the chain that are not recorded there, and a partition that knows a turn without its chain counts as not searched. Tests: turn_router/*, turn_run/* (new, with an engine on the loop and the store's model), recorder_choice/*. turn_run/next_owner_gets_the_turns_that_it_does_not_have failed before the second change.

--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -163,6 +163,13 @@
   /// @brief Offset of the oldest record that is still needed.
   std::optional<RecordOffset> OldestNeeded() const;
 
+  /// @brief Knows turns that are durable in another partition, until their records here are
+  /// acknowledged.
+  void AddRecordedElsewhere(const std::vector<Turn>& turns);
+  bool Knows(const TurnId& turn) const { return turns_.contains(turn); }
+  /// @brief The turns of a chain, oldest first, whose records here are not acknowledged.
+  std::vector<Turn> UnrecordedOf(const TurnId& turn) const;
+
   std::size_t turn_count() const { return turns_.size(); }
   std::size_t program_count() const { return programs_.size(); }
 
@@ -180,7 +187,8 @@
   };
   struct StoredTurn {
     Turn turn;
-    RecordOffset offset;
+    /// None while the turn is recorded in another partition only.
+    std::optional<RecordOffset> offset;
   };
 
   /// @brief Raises the queued ceiling of a program that may hand out `needed` tokens.
@@ -247,6 +255,9 @@
   /// Wait before an append or read is repeated; doubles up to the maximum.
   Duration retry_delay = std::chrono::milliseconds(30);
   Duration max_retry_delay = std::chrono::milliseconds(400);
+  /// Time without an answer to an append after which the partition counts as away. A slow store
+  /// answers in 240 ms.
+  Duration stall_after = std::chrono::milliseconds(300);
   /// Records that can be dropped before the store is asked to; the store drops old ones by itself.
   std::uint64_t min_trim_records = 2000;
   /// Age at which live records are written again; half of the store's retention.
@@ -287,6 +298,8 @@
   ProgramLedger& ledger() { return ledger_; }
   /// @brief True while records are not acknowledged, as far as is known.
   bool stalled() const { return retrying_ || !store_.available(); }
+  /// @brief True if a record that is appended now is expected to be durable soon.
+  bool takes_records() const;
 
  private:
   struct Waiting {
@@ -323,6 +336,7 @@
   AppendSequence sequence_{};
   std::deque<Waiting> queue_;
   std::vector<Waiting> batch_;
+  MonotonicTime batch_sent_at_{};
   Duration retry_delay_{};
   std::deque<Checkpoint> checkpoints_;
   RecordOffset trimmed_before_{};
--- a/src/gateway/chain_search.cc
+++ b/src/gateway/chain_search.cc
@@ -54,8 +54,10 @@
   const auto pending = std::make_shared<Pending>();
   pending->left = partitions.size();
   for (const auto& partition : partitions) {
-    partition->Confirm([pending, on_done, id = partition->id()](bool owned) {
-      if (owned) {
+    // A turn without its whole chain is not absent.
+    const bool absent = !partition->ledger().Knows(turn);
+    partition->Confirm([pending, on_done, absent, id = partition->id()](bool owned) {
+      if (owned && absent) {
         pending->reply.searched.push_back(id);
       }
       if (--pending->left == 0) {
--- a/src/gateway/commit_relay.cc
+++ b/src/gateway/commit_relay.cc
@@ -3,15 +3,25 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/gateway/recorder_choice.h"
+
 namespace acaciaspring::gateway {
 
+namespace {
+
+// An append takes 10 ms and a message between zones a few; without an answer for this long, the
+// next recorder is asked.
+constexpr Duration kNextRecorderAfter = std::chrono::milliseconds(250);
+
+}  // namespace
+
 ledger::PartitionId CommitRelay::PartitionFor(const CommitRequest& request) const {
   return ledger::PartitionOf(request.program, context_.options.partition_count);
 }
 
-void CommitRelay::Commit(CommitRequest request,
-                         MonotonicTime deadline,
-                         std::function<void(bool)> on_done) {
+ExchangeId CommitRelay::Commit(CommitRequest request,
+                               MonotonicTime deadline,
+                               std::function<void(bool)> on_done) {
   const ExchangeId id = ++last_id_;
   request.exchange = id;
   const auto left = std::chrono::duration_cast<Duration>(deadline - context_.loop.Now());
@@ -22,6 +32,7 @@
       context_.loop.After(std::max(left, Duration(0)), [this, id] { Finish(id, false); });
   // The caller may be within a call of the partition that has just been lost.
   context_.loop.Post([this, id] { Dispatch(id); });
+  return id;
 }
 
 void CommitRelay::Dispatch(ExchangeId id) {
@@ -30,6 +41,10 @@
     return;
   }
   Pending& pending = found->second;
+  if (pending.request.anywhere) {
+    DispatchAnywhere(id, pending);
+    return;
+  }
   const ledger::PartitionId partition = PartitionFor(pending.request);
   if (const auto serving = ownership_.Serving(partition)) {
     pending.sent_to = context_.options.self.id;
@@ -43,6 +58,39 @@
   }
 }
 
+void CommitRelay::DispatchAnywhere(ExchangeId id, Pending& pending) {
+  const auto local = ownership_.Recorders();
+  PeerLinks* links = links_();
+  const auto peers = links == nullptr ? std::vector<DaemonId>() : links->Recorders();
+  const RecorderChoice choice = ChooseRecorder({.program = pending.request.program,
+                                                .attempt = pending.attempt,
+                                                .local = local.size(),
+                                                .peers = peers.size()});
+  const bool asked =
+      std::visit(Overloaded{[&](const LocalRecorder& recorder) {
+                              pending.sent_to = context_.options.self.id;
+                              Record(local[recorder.index], pending.request,
+                                     [this](const CommitReply& reply) { OnReply(reply); });
+                              return true;
+                            },
+                            [&](const PeerRecorder& recorder) {
+                              pending.sent_to = peers[recorder.index];
+                              return links->Send(pending.sent_to, pending.request);
+                            },
+                            [](const NoRecorder&) { return false; }},
+                 choice);
+  if (!asked) {
+    return;
+  }
+  ++pending.attempt;
+  pending.next_recorder = context_.loop.After(kNextRecorderAfter, [this, id] {
+    if (const auto found = pending_.find(id); found != pending_.end()) {
+      found->second.sent_to = DaemonId();
+      Dispatch(id);
+    }
+  });
+}
+
 void CommitRelay::Record(const std::shared_ptr<ledger::Partition>& partition,
                          const CommitRequest& request,
                          std::function<void(const CommitReply&)> on_done) {
@@ -61,7 +109,13 @@
         partition->ledger().AddSpent(request.program, request.handed_out, context_.loop.Now());
   }
   if (!request.turns.empty()) {
-    record.turn = request.turns.front();
+    record.turn = request.turns.back();
+  }
+  // The appends are acknowledged in order, so the last one answers for all.
+  for (std::size_t i = 0; i + 1 < request.turns.size(); ++i) {
+    if (!partition->ledger().Knows(request.turns[i].id)) {
+      partition->Append({.turn = request.turns[i]}, [](bool) {});
+    }
   }
   partition->Append(record,
                     [exchange = request.exchange, on_done = std::move(on_done)](bool durable) {
@@ -70,6 +124,16 @@
 }
 
 void CommitRelay::Answer(const CommitRequest& request, const PeerReply& reply) {
+  if (request.anywhere) {
+    const auto local = ownership_.Recorders();
+    if (local.empty() || request.turns.empty()) {
+      reply(CommitReply{.exchange = request.exchange});
+      return;
+    }
+    const std::size_t index = Hash64(request.program.value()) % local.size();
+    Record(local[index], request, [reply](const CommitReply& answer) { reply(answer); });
+    return;
+  }
   const auto partition = ownership_.Serving(PartitionFor(request));
   if (partition == nullptr) {
     reply(CommitReply{.exchange = request.exchange});
--- a/src/gateway/commit_relay.h
+++ b/src/gateway/commit_relay.h
@@ -10,14 +10,19 @@
 
 namespace acaciaspring::gateway {
 
-/// @brief Records for turns whose partition moved while they ran, at whoever owns it now.
+/// @brief Records for turns whose partition moved while they ran, at whoever owns it now, and for
+/// turns whose partition is away, at any daemon with a partition that takes records.
 class CommitRelay {
  public:
   CommitRelay(Context& context, Ownership& ownership, std::function<PeerLinks*()> links)
       : context_(context), ownership_(ownership), links_(std::move(links)) {}
 
-  /// @brief `on_done` gets false when no owner has recorded it by the deadline.
-  void Commit(CommitRequest request, MonotonicTime deadline, std::function<void(bool)> on_done);
+  /// @brief `on_done` gets false when nobody has recorded it by the deadline. The result cancels
+  /// the request.
+  ExchangeId Commit(CommitRequest request,
+                    MonotonicTime deadline,
+                    std::function<void(bool)> on_done);
+  void Cancel(ExchangeId id) { pending_.erase(id); }
   /// @brief Answers another daemon.
   void Answer(const CommitRequest& request, const PeerReply& reply);
   void OnReply(const CommitReply& reply);
@@ -31,10 +36,14 @@
     std::function<void(bool)> on_done;
     /// Empty while no owner is known.
     DaemonId sent_to;
+    /// Recorders that have been asked, for a request to any of them.
+    std::uint32_t attempt = 0;
     net::Timer timer;
+    net::Timer next_recorder;
   };
 
   void Dispatch(ExchangeId id);
+  void DispatchAnywhere(ExchangeId id, Pending& pending);
   void Record(const std::shared_ptr<ledger::Partition>& partition,
               const CommitRequest& request,
               std::function<void(const CommitReply&)> on_done);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -125,7 +125,8 @@
   if (links != nullptr) {
     links->Heartbeat({.ready = configuration.has_value() && endpoints_known && !draining,
                       .in_flight = context.endpoints.OwnCounts(),
-                      .owned = ownership.Owned()});
+                      .owned = ownership.Owned(),
+                      .takes_records = !ownership.Recorders().empty()});
   }
 }
 
--- a/src/gateway/ownership.cc
+++ b/src/gateway/ownership.cc
@@ -141,6 +141,18 @@
   return served;
 }
 
+std::vector<std::shared_ptr<ledger::Partition>> Ownership::Recorders() const {
+  std::vector<std::shared_ptr<ledger::Partition>> recorders;
+  for (const auto& [id, partition] : own_) {
+    if (serving_ && partition->takes_records()) {
+      recorders.push_back(partition);
+    }
+  }
+  std::sort(recorders.begin(), recorders.end(),
+            [](const auto& a, const auto& b) { return a->id() < b->id(); });
+  return recorders;
+}
+
 void Ownership::Maintain() {
   for (const auto& partition : ServedPartitions()) {
     partition->Maintain();
--- a/src/gateway/ownership.h
+++ b/src/gateway/ownership.h
@@ -32,6 +32,8 @@
   std::optional<DaemonId> RemoteOwner(ledger::PartitionId partition) const;
   std::vector<OwnedPartition> Owned() const;
   std::vector<std::shared_ptr<ledger::Partition>> ServedPartitions() const;
+  /// @brief Served partitions that take records now.
+  std::vector<std::shared_ptr<ledger::Partition>> Recorders() const;
   void Maintain();
   /// @brief No partition is reported as served from now on.
   void StopServing() { serving_ = false; }
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciaspring::gateway {
@@ -81,7 +82,10 @@
   }
   const DaemonId id = incoming->member->id;
   if (const auto* status = std::get_if<PeerStatus>(&*message)) {
-    heard_[id] = {.member = *incoming->member, .ready = status->ready, .at = context_.loop.Now()};
+    heard_[id] = {.member = *incoming->member,
+                  .ready = status->ready,
+                  .takes_records = status->takes_records,
+                  .at = context_.loop.Now()};
     handlers_.on_status(id, *status);
     return;
   }
@@ -225,6 +229,17 @@
   return ready;
 }
 
+std::vector<DaemonId> PeerLinks::Recorders() const {
+  std::vector<DaemonId> recorders;
+  for (const auto& [id, heard] : heard_) {
+    if (heard.takes_records && IsOpen(id)) {
+      recorders.push_back(id);
+    }
+  }
+  std::sort(recorders.begin(), recorders.end());
+  return recorders;
+}
+
 std::vector<DaemonId> PeerLinks::OpenPeers() const {
   std::vector<DaemonId> open;
   for (const auto& [id, link] : outgoing_) {
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -50,6 +50,8 @@
   Duration HeartbeatPeriod() const;
   /// @brief Daemons whose last status is recent and says that they are ready.
   std::vector<Member> ReadyMembers() const;
+  /// @brief Daemons that serve a partition which takes records, as of their last status.
+  std::vector<DaemonId> Recorders() const;
   /// @brief Daemons with an open connection.
   std::vector<DaemonId> OpenPeers() const;
 
@@ -69,6 +71,7 @@
   struct Heard {
     Member member;
     bool ready = false;
+    bool takes_records = false;
     MonotonicTime at;
   };
 
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -39,9 +39,11 @@
   InFlightCounts in_flight = {};
   /// Partitions that the sender serves.
   std::vector<OwnedPartition> owned = {};
+  /// The sender serves a partition that takes records now.
+  bool takes_records = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(ready, in_flight, owned);
+    archive(ready, in_flight, owned, takes_records);
   }
 };
 
@@ -147,7 +149,8 @@
   }
 };
 
-/// @brief What a daemon that lost a partition while its turn ran asks the next owner to record.
+/// @brief What a daemon that lost a partition while its turn ran asks the next owner to record, or
+/// what an owner whose partition is away asks any other daemon to record.
 struct CommitRequest {
   ExchangeId exchange = {};
   ProgramId program = {};
@@ -156,11 +159,13 @@
   TokenCount budget = {};
   /// Tokens that were handed out without a record.
   TokenCount handed_out = {};
-  /// At most one turn.
+  /// Oldest first.
   std::vector<ledger::Turn> turns = {};
+  /// The turns are a whole chain, to be recorded in any partition; nothing is counted.
+  bool anywhere = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, program, tokens, budget, handed_out, turns);
+    archive(exchange, program, tokens, budget, handed_out, turns, anywhere);
   }
 };
 
--- /dev/null
+++ b/src/gateway/recorder_choice_test.cc
@@ -0,0 +1,68 @@
+#include "src/gateway/recorder_choice.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <set>
+#include <string>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+RecorderQuery Query(std::uint32_t attempt, std::size_t local, std::size_t peers) {
+  return {.program = ProgramId("p"), .attempt = attempt, .local = local, .peers = peers};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(recorder_choice)
+
+// Pattern: a third of the store's partitions are away. Guards against records that cross zones
+// although a partition of the same daemon takes them.
+BOOST_AUTO_TEST_CASE(own_partitions_come_first) {
+  for (const std::uint32_t attempt : {0U, 1U}) {
+    BOOST_TEST(std::holds_alternative<LocalRecorder>(ChooseRecorder(Query(attempt, 3, 5))));
+  }
+  BOOST_TEST(std::holds_alternative<PeerRecorder>(ChooseRecorder(Query(2, 3, 5))));
+}
+
+// Pattern: the store turns a third of the daemons away, so that none of their partitions takes
+// records. Guards against a turn that asks the same silent peer again and again.
+BOOST_AUTO_TEST_CASE(every_peer_is_asked_in_turn) {
+  std::set<std::size_t> asked;
+  for (std::uint32_t attempt = 0; attempt < 5; ++attempt) {
+    const RecorderChoice choice = ChooseRecorder(Query(attempt, 0, 5));
+    BOOST_REQUIRE(std::holds_alternative<PeerRecorder>(choice));
+    asked.insert(std::get<PeerRecorder>(choice).index);
+  }
+  BOOST_TEST(asked.size() == 5U);
+}
+
+// Guards against the records of all waiting programs meeting at one daemon.
+BOOST_AUTO_TEST_CASE(programs_are_spread) {
+  std::map<std::size_t, int> counts;
+  for (int i = 0; i < 1000; ++i) {
+    RecorderQuery query = Query(0, 0, 4);
+    query.program = ProgramId(std::to_string(i));
+    ++counts[std::get<PeerRecorder>(ChooseRecorder(query)).index];
+  }
+  for (const auto& [index, count] : counts) {
+    BOOST_TEST(count > 150, "recorder " << index << " got " << count);
+  }
+  BOOST_TEST(counts.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(single_daemon_uses_its_own_partitions_only) {
+  for (std::uint32_t attempt = 0; attempt < 6; ++attempt) {
+    BOOST_TEST(std::holds_alternative<LocalRecorder>(ChooseRecorder(Query(attempt, 2, 0))));
+  }
+}
+
+// Guards against messages during an outage of the whole store, when no record can be made.
+BOOST_AUTO_TEST_CASE(nobody_is_asked_while_the_whole_store_is_away) {
+  BOOST_TEST(std::holds_alternative<NoRecorder>(ChooseRecorder(Query(0, 0, 0))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::gateway
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -162,6 +162,12 @@
       .commit_elsewhere =
           [this](CommitRequest request, MonotonicTime deadline, std::function<void(bool)> on_done) {
             commit_relay_.Commit(std::move(request), deadline, std::move(on_done));
+          },
+      .record_anywhere =
+          [this](CommitRequest request, MonotonicTime deadline, std::function<void(bool)> on_done) {
+            const ExchangeId id =
+                commit_relay_.Commit(std::move(request), deadline, std::move(on_done));
+            return [this, id] { commit_relay_.Cancel(id); };
           }};
 }
 
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -15,6 +15,8 @@
 constexpr Duration kCallMargin = std::chrono::milliseconds(20);
 // Time for the next owner to count tokens of a turn that has ended.
 constexpr Duration kLateCommitTime = std::chrono::seconds(10);
+// Beyond it the partition is probably away; a slow store answers in 240 ms.
+constexpr Duration kRecordAnywhereAfter = std::chrono::milliseconds(300);
 // A partition moves within about this time.
 constexpr Duration kOwnerRetryAfter = std::chrono::milliseconds(300);
 
@@ -288,10 +290,9 @@
 
 void TurnRun::RecordTurn() {
   recording_since_ = context_.loop.Now();
-  for (ledger::Turn& turn : imported_) {
-    partition_->Append({.turn = std::move(turn)}, [](bool) {});
+  for (const ledger::Turn& turn : imported_) {
+    partition_->Append({.turn = turn}, [](bool) {});
   }
-  imported_.clear();
   ledger::Record record;
   const TokenCount used(events_passed_ * request_.tokens_per_event.value());
   if (request_.program.budget) {
@@ -304,27 +305,74 @@
                              .output = std::move(output_),
                              .recorded_at = net::Loop::WallNow(),
                              .retention = Duration(request_.retention_us)};
+  recording_ = record.turn;
   Settle();
   const auto self = shared_from_this();
-  partition_->Append(record, [weak = weak_from_this(), turn = *record.turn](bool durable) {
+  if (partition_->stalled()) {
+    RecordAnywhere();
+  } else {
+    anywhere_timer_ = context_.loop.After(kRecordAnywhereAfter, [this] { RecordAnywhere(); });
+  }
+  partition_->Append(record, [weak = weak_from_this()](bool durable) {
     const auto live = weak.lock();
     if (!live || live->ended_) {
       return;
     }
     if (durable) {
       live->OnRecorded(true);
-      return;
+    } else {
+      live->RecordAtNextOwner();
     }
-    // The next owner has counted the tokens, which were below the recorded ceiling.
-    live->services_.commit_elsewhere({.program = live->request_.program.program, .turns = {turn}},
-                                     live->deadline_, [weak](bool recorded) {
-                                       if (const auto still_live = weak.lock()) {
-                                         still_live->OnRecorded(recorded);
-                                       }
-                                     });
   });
 }
 
+void TurnRun::RecordAtNextOwner() {
+  // The next owner has counted the tokens, which were below the recorded ceiling. It does not have
+  // the turns of the chain whose records were lost with the partition.
+  std::vector<ledger::Turn> turns = imported_;
+  for (const ledger::Turn& turn :
+       partition_->ledger().UnrecordedOf(request_.program.previous_turn)) {
+    turns.push_back(turn);
+  }
+  turns.push_back(*recording_);
+  services_.commit_elsewhere({.program = request_.program.program, .turns = std::move(turns)},
+                             deadline_, [weak = weak_from_this()](bool recorded) {
+                               if (const auto live = weak.lock()) {
+                                 live->OnRecorded(recorded);
+                               }
+                             });
+}
+
+void TurnRun::RecordAnywhere() {
+  std::vector<ledger::Turn> turns = imported_;
+  const ledger::TurnId& previous = request_.program.previous_turn;
+  if (!previous.empty() && turns.empty()) {
+    const auto chain = partition_->ledger().Chain(previous);
+    if (!chain) {
+      return;
+    }
+    for (const ledger::Turn* turn : *chain) {
+      turns.push_back(*turn);
+    }
+  }
+  turns.push_back(*recording_);
+  cancel_anywhere_ = services_.record_anywhere(
+      {.program = request_.program.program, .turns = turns, .anywhere = true}, deadline_,
+      [weak = weak_from_this(), turns](bool durable) {
+        const auto self = weak.lock();
+        if (!self || self->ended_ || !durable) {
+          return;
+        }
+        // The program's next turn finds its chain here.
+        self->partition_->ledger().AddRecordedElsewhere(turns);
+        self->context_.events.Write("recorded_elsewhere",
+                                    {{"id", self->request_.id.value()},
+                                     {"partition", self->partition_->id().value()},
+                                     {"turns", static_cast<std::int64_t>(turns.size())}});
+        self->OnRecorded(true);
+      });
+}
+
 void TurnRun::OnRecorded(bool durable) {
   if (ended_) {
     return;
@@ -394,6 +442,10 @@
   const auto self = shared_from_this();
   ended_ = true;
   deadline_timer_.Cancel();
+  anywhere_timer_.Cancel();
+  if (const auto cancel = std::exchange(cancel_anywhere_, nullptr)) {
+    cancel();
+  }
   const MonotonicTime now = context_.loop.Now();
   const auto ms = [&](MonotonicTime at) {
     return at == MonotonicTime()
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -31,6 +31,10 @@
   /// Records at the next owner of the partition, by the given time; false if it was not possible.
   std::function<void(CommitRequest, MonotonicTime, std::function<void(bool durable)>)>
       commit_elsewhere = {};
+  /// Records a whole chain in any partition while that of the program is away. The result cancels
+  /// the request.
+  std::function<std::function<void()>(CommitRequest, MonotonicTime, std::function<void(bool)>)>
+      record_anywhere = {};
 };
 
 /// @brief One turn at the owner of its program: budget, chain, endpoint call and durable end.
@@ -63,6 +67,8 @@
   void PassHeldBack();
   void Complete();
   void RecordTurn();
+  void RecordAnywhere();
+  void RecordAtNextOwner();
   void OnDeadline();
   void Settle();
   void CountElsewhere();
@@ -85,6 +91,10 @@
   std::string chain_body_;
   /// Turns of another partition, to be recorded with this one.
   std::vector<ledger::Turn> imported_;
+  /// The turn that is being recorded.
+  std::optional<ledger::Turn> recording_;
+  net::Timer anywhere_timer_;
+  std::function<void()> cancel_anywhere_;
   net::SseParser parser_;
   std::string output_;
   std::string held_;
--- /dev/null
+++ b/src/gateway/turn_run_test.cc
@@ -0,0 +1,122 @@
+#include "src/gateway/turn_run.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "src/gateway/test_daemon.h"
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+std::vector<std::string> Ids(const std::vector<ledger::Turn>& turns) {
+  std::vector<std::string> ids;
+  for (const ledger::Turn& turn : turns) {
+    ids.push_back(turn.id.value());
+  }
+  return ids;
+}
+
+struct Fixture {
+  Fixture() { daemon.Assign(1); }
+
+  /// @brief Runs a turn whose requests to other daemons are kept and not answered.
+  std::shared_ptr<TurnRun> Start(const std::string& id, const std::string& previous) {
+    auto run = std::make_shared<TurnRun>(
+        daemon.context, partition(), MakeTurnRequest(program, id, previous, 10 * kTurnTokens),
+        TurnServices{.preferred_endpoint = [](const auto&) { return EndpointId(); },
+                     .remember_endpoint = [](const auto&, const auto&) {},
+                     .commit_elsewhere =
+                         [this](const CommitRequest& request, MonotonicTime, const auto&) {
+                           if (!request.turns.empty()) {
+                             commits.push_back(request);
+                           }
+                         },
+                     .record_anywhere =
+                         [this](const CommitRequest& request, MonotonicTime,
+                                std::function<void(bool)> on_done) {
+                           anywhere.push_back(request);
+                           on_recorded = std::move(on_done);
+                           return [this] { ++cancelled; };
+                         }},
+        sink, [] {});
+    run->Start();
+    return run;
+  }
+  void Until(const std::function<bool()>& condition) {
+    net::RunUntil(loop, [&] {
+      store.Run(std::chrono::milliseconds(5));
+      return condition();
+    });
+  }
+  std::shared_ptr<ledger::Partition> partition() const {
+    return daemon.ownership.Serving(ledger::PartitionOf(program, kPartitions));
+  }
+  void AddTurnOfAnotherPartition(const std::string& id) {
+    partition()->ledger().AddRecordedElsewhere(
+        {{.id = ledger::TurnId(id), .input = "i", .output = "o"}});
+  }
+
+  net::Loop loop;
+  ledger::TestStore store;
+  Engine engine{loop};
+  Daemon daemon{loop, store, engine};
+  ProgramId program{"p"};
+  std::shared_ptr<RecordingSink> sink = std::make_shared<RecordingSink>();
+  std::vector<CommitRequest> commits;
+  std::vector<CommitRequest> anywhere;
+  std::function<void(bool)> on_recorded;
+  int cancelled = 0;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(turn_run, Fixture)
+
+// Guards against a chain that is spread over partitions, which no daemon can put together: the
+// former turn is recorded in another partition, and the next owner of the own one gets this turn.
+BOOST_AUTO_TEST_CASE(next_owner_gets_the_turns_that_it_does_not_have) {
+  AddTurnOfAnotherPartition("t1");
+  const auto run = Start("t2", "t1");
+  partition()->Release();
+  Until([&] { return !commits.empty(); });
+  BOOST_TEST(Ids(commits.front().turns) == (std::vector<std::string>{"t1", "t2"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(next_owner_does_not_get_turns_that_are_recorded) {
+  partition()->Append({.turn = ledger::Turn{.id = ledger::TurnId("t1")}}, [](bool) {});
+  store.Run(std::chrono::seconds(1));
+  const auto run = Start("t2", "t1");
+  partition()->Release();
+  Until([&] { return !commits.empty(); });
+  BOOST_TEST(Ids(commits.front().turns) == (std::vector<std::string>{"t2"}),
+             boost::test_tools::per_element());
+}
+
+// Guards against work at other daemons for a turn that is durable already.
+BOOST_AUTO_TEST_CASE(request_to_other_partitions_ends_with_the_turn) {
+  const auto run = Start("t1", "");
+  store.SetAway(partition()->id(), true);
+  Until([&] { return !anywhere.empty(); });
+  BOOST_TEST(!sink->over());
+  store.SetAway(partition()->id(), false);
+  Until([&] { return sink->over(); });
+  BOOST_TEST(sink->ended());
+  BOOST_TEST(cancelled == 1);
+}
+
+// Guards against a stream that ends though no daemon could record its turn.
+BOOST_AUTO_TEST_CASE(refused_record_does_not_end_the_stream) {
+  const auto run = Start("t1", "");
+  store.SetAway(partition()->id(), true);
+  Until([&] { return !anywhere.empty(); });
+  on_recorded(false);
+  BOOST_TEST(!sink->over());
+  store.SetAway(partition()->id(), false);
+  Until([&] { return sink->over(); });
+  BOOST_TEST(sink->ended());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::gateway
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -138,7 +138,13 @@
   SendBatch();
 }
 
+bool Partition::takes_records() const {
+  const bool waiting = !batch_.empty() && store_.Now() - batch_sent_at_ > options_.stall_after;
+  return admits() && !stalled() && !waiting;
+}
+
 void Partition::SendBatch() {
+  batch_sent_at_ = store_.Now();
   std::vector<std::string> pieces;
   for (const Waiting& waiting : batch_) {
     pieces.insert(pieces.end(), waiting.pieces.begin(), waiting.pieces.end());
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -115,6 +115,22 @@
   return chain;
 }
 
+void ProgramLedger::AddRecordedElsewhere(const std::vector<Turn>& turns) {
+  for (const Turn& turn : turns) {
+    turns_.try_emplace(turn.id, StoredTurn{.turn = turn, .offset = std::nullopt});
+  }
+}
+
+std::vector<Turn> ProgramLedger::UnrecordedOf(const TurnId& turn) const {
+  std::vector<Turn> unrecorded;
+  for (const Turn* known : Chain(turn).value_or(std::vector<const Turn*>())) {
+    if (!turns_.at(known->id).offset) {
+      unrecorded.push_back(*known);
+    }
+  }
+  return unrecorded;
+}
+
 void ProgramLedger::Expire(WallTime wall_now, MonotonicTime now) {
   // A turn is kept as long as one that continues from it.
   std::unordered_map<TurnId, WallTime> needed_until;
@@ -151,7 +167,7 @@
     }
   }
   for (const auto& [id, stored] : turns_) {
-    if (stored.offset < before) {
+    if (stored.offset && *stored.offset < before) {
       records.push_back({.turn = stored.turn});
     }
   }
@@ -167,7 +183,9 @@
     take(program.offset);
   }
   for (const auto& [id, stored] : turns_) {
-    take(stored.offset);
+    if (stored.offset) {
+      take(*stored.offset);
+    }
   }
   return oldest;
 }
--- a/src/ledger/test_store.h
+++ b/src/ledger/test_store.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -30,6 +31,10 @@
       fates_.pop_front();
     }
     ++appends_;
+    if (away_.contains(partition)) {
+      Post([=] { on_done(StoreUnavailable{}); });
+      return;
+    }
     switch (fate) {
       case Fate::kServe:
         Post([=, this] { on_done(Serve(partition, epoch, sequence, pieces)); });
@@ -52,6 +57,10 @@
             RecordOffset from,
             std::function<void(const ReadResult&)> on_done) override {
     Post([=, this] {
+      if (away_.contains(partition)) {
+        on_done(StoreUnavailable{});
+        return;
+      }
       const fakes::StorePartition& log = logs_[partition];
       if (from.value() < log.first()) {
         on_done(HistoryDropped{.oldest = RecordOffset(log.first())});
@@ -99,6 +108,14 @@
     }
   }
 
+  /// @brief Makes one partition refuse every call.
+  void SetAway(PartitionId partition, bool away) {
+    if (away) {
+      away_.insert(partition);
+    } else {
+      away_.erase(partition);
+    }
+  }
   void SetFates(std::deque<Fate> fates) { fates_ = std::move(fates); }
   void SetPiecesPerRead(std::size_t pieces) { pieces_per_read_ = pieces; }
   std::size_t appends() const { return appends_; }
@@ -136,6 +153,7 @@
   MonotonicTime now_{std::chrono::seconds(1000)};
   std::multimap<MonotonicTime, std::function<void()>> timers_;
   std::map<PartitionId, fakes::StorePartition> logs_;
+  std::set<PartitionId> away_;
   std::deque<Fate> fates_;
   std::vector<std::function<void()>> late_;
   std::size_t pieces_per_read_ = 1000;
