--- a/fakes/fake_store.cc
+++ b/fakes/fake_store.cc
@@ -72,7 +72,8 @@
 }  // namespace
 
 FakeStore::FakeStore(net::Loop& loop, const net::Address& listen, const StoreOptions& options)
-    : options_(options), service_(loop, listen, {"lose_answers", "late_ms", "silent"}) {
+    : options_(options),
+      service_(loop, listen, {"lose_answers", "late_ms", "silent", "away_percent", "away_salt"}) {
   const auto route = [this](const char* method, const char* path,
                             void (FakeStore::*handler)(const Call&)) {
     service_.Route(method, path, [this, handler](const Call& call) {
@@ -126,7 +127,22 @@
   return result;
 }
 
+bool FakeStore::RefuseAway(const Call& call) {
+  const auto share = static_cast<std::uint64_t>(service_.faults().Value("away_percent"));
+  const auto salt = static_cast<std::uint64_t>(service_.faults().Value("away_salt"));
+  const auto [topic, part] = NameOf(call);
+  if (topic.starts_with(kKeyedPrefix) ||
+      Hash64(topic + "/" + std::to_string(part), salt) % 100 >= share) {
+    return false;
+  }
+  AnswerError(call.responder, 503, "unavailable", "the partition is away by a fault switch");
+  return true;
+}
+
 void FakeStore::Append(const Call& call) {
+  if (RefuseAway(call)) {
+    return;
+  }
   const net::HttpRequest& request = call.request;
   StoreAppend append{.at = {}, .producer = {}, .records = SplitRecords(request.body)};
   if (!net::FindQueryParameter(request, "at").empty()) {
@@ -156,6 +172,9 @@
 }
 
 void FakeStore::Read(const Call& call) {
+  if (RefuseAway(call)) {
+    return;
+  }
   const StorePartition& partition = partitions_[NameOf(call)];
   const std::uint64_t from = QueryNumber(call.request, "from", 0);
   if (from < partition.first()) {
--- a/fakes/fake_store.h
+++ b/fakes/fake_store.h
@@ -18,7 +18,8 @@
 ///
 /// Fault switches besides those of Service: lose_answers (share in percent of the appends that are
 /// done without an answer), late_ms (with lose_answers: the append is done after this time
-/// instead), silent (calls are left without an answer), deal_anew (on each change, all partitions
+/// instead), silent (calls are left without an answer), away_percent (so many of the partitions
+/// refuse appends and reads; away_salt chooses which), deal_anew (on each change, all partitions
 /// are dealt anew).
 class FakeStore {
  public:
@@ -30,6 +31,8 @@
   void DealAnew();
 
  private:
+  /// @brief Refuses a call to a partition that is away.
+  bool RefuseAway(const Call& call);
   void Append(const Call& call);
   void Read(const Call& call);
   void Newest(const Call& call);
