Drop removed endpoints when the return of the register has settled

It learned of the store's return up to half a second late, because a failed read was repeated after the whole period, kept missing entries for 2.2 s, and dropped them at the next read after that: up to 3.2 s, with 3 s allowed. Tests: endpoint_register/* (four cases, no network).

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -186,8 +186,9 @@
                    std::function<void(const Member&)> on_member_gone);
   /// @brief Ignores a version that is not above the one in force.
   void SetConfiguration(Configuration configuration);
-  /// @brief The whole register; endpoints that are not listed get no more requests.
-  void SetEndpoints(std::vector<RegisteredEndpoint> endpoints);
+  /// @brief The whole register as it was just read; endpoints that are not listed get no more
+  /// requests, after an outage of the register some seconds later.
+  void SetEndpoints(const std::vector<RegisteredEndpoint>& endpoints);
   void SetMembers(std::vector<Member> members);
   /// @brief The partitions of this daemon as of `generation` of the group.
   void SetAssignment(const std::vector<AssignedPartition>& assigned, ledger::OwnerEpoch generation);
--- /dev/null
+++ b/src/gateway/endpoint_register_test.cc
@@ -0,0 +1,86 @@
+#include "src/gateway/endpoint_register.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+constexpr MonotonicTime kStart{std::chrono::seconds(100)};
+constexpr Duration kPeriod = std::chrono::milliseconds(500);
+constexpr Duration kOutage = std::chrono::seconds(6);
+// A daemon must not use a removed endpoint three seconds after the store is back for it.
+constexpr Duration kBound = std::chrono::seconds(3);
+
+std::vector<RegisteredEndpoint> Listed(const std::vector<std::string>& ids) {
+  std::vector<RegisteredEndpoint> listed;
+  for (const std::string& id : ids) {
+    listed.push_back({.id = EndpointId(id)});
+  }
+  return listed;
+}
+
+std::set<std::string> IdsAt(const EndpointRegister& endpoints, MonotonicTime now) {
+  std::set<std::string> ids;
+  for (const RegisteredEndpoint& endpoint : endpoints.Endpoints(now)) {
+    ids.insert(endpoint.id.value());
+  }
+  return ids;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(endpoint_register)
+
+// Guards against requests to an endpoint whose entry was removed while the store answers.
+BOOST_AUTO_TEST_CASE(removed_entry_is_gone_at_once) {
+  EndpointRegister endpoints;
+  endpoints.Update(Listed({"a", "b"}), kStart);
+  endpoints.Update(Listed({"a"}), kStart + kPeriod);
+  BOOST_TEST((IdsAt(endpoints, kStart + kPeriod) == std::set<std::string>{"a"}));
+}
+
+// Guards against a service without endpoints because all entries lapsed with the store.
+BOOST_AUTO_TEST_CASE(lapsed_entries_are_kept_until_they_are_back) {
+  EndpointRegister endpoints;
+  endpoints.Update(Listed({"a", "b"}), kStart);
+  const MonotonicTime back = kStart + kOutage;
+  endpoints.Update(Listed({}), back);
+  BOOST_TEST(IdsAt(endpoints, back).size() == 2U);
+  endpoints.Update(Listed({"a"}), back + kPeriod);
+  BOOST_TEST(IdsAt(endpoints, back + kPeriod).size() == 2U);
+}
+
+// Guards against requests to an endpoint that left while the store was away for this daemon: no
+// later read of the register may be needed to drop it (incident 6).
+BOOST_AUTO_TEST_CASE(missing_entry_is_gone_when_the_return_has_settled) {
+  EndpointRegister endpoints;
+  endpoints.Update(Listed({"a", "b"}), kStart);
+  const MonotonicTime back = kStart + kOutage;
+  endpoints.Update(Listed({"a"}), back);
+  endpoints.Update(Listed({"a"}), back + kPeriod);
+  const auto settles_at = endpoints.SettlesAt(back + kPeriod);
+  BOOST_REQUIRE(settles_at.has_value());
+  BOOST_TEST((*settles_at < back + kBound - kPeriod));
+  BOOST_TEST((IdsAt(endpoints, *settles_at) == std::set<std::string>{"a"}));
+  BOOST_TEST(!endpoints.SettlesAt(*settles_at).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(endpoint_that_is_back_replaces_its_old_entry) {
+  EndpointRegister endpoints;
+  endpoints.Update(Listed({"a"}), kStart);
+  const MonotonicTime back = kStart + kOutage;
+  endpoints.Update(Listed({}), back);
+  auto listed = Listed({"a"});
+  listed.front().state = EndpointState::kDraining;
+  endpoints.Update(listed, back + kPeriod);
+  const auto used = endpoints.Endpoints(back + kPeriod);
+  BOOST_REQUIRE(used.size() == 1U);
+  BOOST_TEST((used.front().state == EndpointState::kDraining));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -9,6 +9,7 @@
 #include "src/gateway/caller_sink.h"
 #include "src/gateway/context.h"
 #include "src/gateway/endpoint_call.h"
+#include "src/gateway/endpoint_register.h"
 #include "src/gateway/ownership.h"
 #include "src/gateway/peer_links.h"
 #include "src/gateway/route_table.h"
@@ -53,6 +54,8 @@
   void HandleCall(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
   std::optional<Refusal> Check(const CallerRequest& request, const Route* route) const;
   Duration TimeFor(const CallerRequest& request, const Route& route) const;
+  /// @brief Uses the endpoints of the register as of now.
+  void UseEndpoints();
   void LogEndpoints(const std::vector<RegisteredEndpoint>& listed);
   void HandOver();
   void ReleasePartitions();
@@ -64,6 +67,8 @@
   Ownership ownership;
   std::unique_ptr<PeerLinks> links;
   std::vector<Member> members;
+  EndpointRegister endpoint_register;
+  net::Timer settle_timer;
   /// States of the register as they were logged last.
   std::unordered_map<EndpointId, EndpointState> endpoint_states;
   TurnRouter router;
@@ -237,6 +242,17 @@
   call->Start();
 }
 
+void Gateway::Impl::UseEndpoints() {
+  const MonotonicTime now = context.loop.Now();
+  const std::vector<RegisteredEndpoint> endpoints = endpoint_register.Endpoints(now);
+  LogEndpoints(endpoints);
+  context.endpoints.SetEndpoints(endpoints);
+  if (const auto settles_at = endpoint_register.SettlesAt(now)) {
+    settle_timer = context.loop.After(std::chrono::duration_cast<Duration>(*settles_at - now),
+                                      [this] { UseEndpoints(); });
+  }
+}
+
 void Gateway::Impl::LogEndpoints(const std::vector<RegisteredEndpoint>& listed) {
   std::unordered_map<EndpointId, EndpointState> states;
   for (const RegisteredEndpoint& endpoint : listed) {
@@ -318,10 +334,10 @@
   impl_->configuration = std::move(configuration);
 }
 
-void Gateway::SetEndpoints(std::vector<RegisteredEndpoint> endpoints) {
+void Gateway::SetEndpoints(const std::vector<RegisteredEndpoint>& endpoints) {
   impl_->endpoints_known = true;
-  impl_->LogEndpoints(endpoints);
-  impl_->context.endpoints.SetEndpoints(std::move(endpoints));
+  impl_->endpoint_register.Update(endpoints, impl_->context.loop.Now());
+  impl_->UseEndpoints();
 }
 
 void Gateway::SetMembers(std::vector<Member> members) {
