--- a/src/main/soak.cc
+++ b/src/main/soak.cc
@@ -3,6 +3,8 @@
 #include <boost/program_options.hpp>
 #include <filesystem>
 #include <iostream>
+#include <string>
+#include <vector>
 
 #include "platform/soak/soak.h"
 
@@ -43,8 +45,14 @@
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
   run.duration = std::chrono::seconds(seconds);
-  std::filesystem::create_directories(run.directory);
-  const auto violations = soak::Soak(run).Run();
+  std::vector<std::string> violations;
+  try {
+    std::filesystem::create_directories(run.directory);
+    violations = soak::Soak(run).Run();
+  } catch (const std::exception& error) {
+    std::cerr << "acaciaspring_soak: " << error.what() << "\n";
+    return 1;
+  }
   for (const std::string& violation : violations) {
     std::cout << "VIOLATION seed " << run.seed << ": " << violation << "\n";
   }
