--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -248,6 +248,20 @@
 };
 using ReadResult = std::variant<ReadPieces, HistoryDropped, StoreUnavailable>;
 
+/// @brief How long to wait for the answer to an append before it is repeated.
+class AppendPatience {
+ public:
+  AppendPatience();
+  Duration Current() const { return current_; }
+  void OnAnswer(Duration took);
+  void OnSilence();
+
+ private:
+  /// Smoothed time of recent answers.
+  Duration usual_{};
+  Duration current_;
+};
+
 /// @brief The durable log of the partitions. Callbacks come from the loop, exactly once.
 class PartitionStore {
  public:
--- a/src/gateway/commit_relay.cc
+++ b/src/gateway/commit_relay.cc
@@ -154,9 +154,13 @@
 }
 
 void CommitRelay::Retry() {
+  // Asked once for all, because many turns wait in an outage of the whole store.
+  const PeerLinks* links = links_();
+  const bool recorders =
+      !ownership_.Recorders().empty() || (links != nullptr && !links->Recorders().empty());
   std::vector<ExchangeId> waiting;
   for (const auto& [id, pending] : pending_) {
-    if (pending.sent_to.empty()) {
+    if (pending.sent_to.empty() && (recorders || !pending.request.anywhere)) {
       waiting.push_back(id);
     }
   }
