--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -10,7 +10,6 @@
 // Longest wait for a partition to get an owner, as a share of the caller's deadline. A takeover
 // after a crash takes 1.5 to 2 s.
 constexpr int kHoldShare = 2;
-constexpr Duration kOwnerRetryAfter = std::chrono::milliseconds(300);
 // The owner's answer, which knows whether the turn may have run, arrives before the deadline here.
 constexpr Duration kOwnerMargin = std::chrono::milliseconds(20);
 // Sessions whose last endpoint is remembered; beyond it all are forgotten.
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -1,6 +1,5 @@
 #include "src/gateway/turn_run.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace acaciaspring::gateway {
@@ -13,12 +12,6 @@
 constexpr Duration kMaxHoldBack = std::chrono::milliseconds(1600);
 // The call to the endpoint ends first, because only it knows whether the turn may have run.
 constexpr Duration kCallMargin = std::chrono::milliseconds(20);
-// Time for the next owner to count tokens of a turn that has ended.
-constexpr Duration kLateCommitTime = std::chrono::seconds(10);
-// Beyond it the partition is probably away; a slow store answers in 240 ms.
-constexpr Duration kRecordAnywhereAfter = std::chrono::milliseconds(300);
-// A partition moves within about this time.
-constexpr Duration kOwnerRetryAfter = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -88,74 +81,6 @@
       });
 }
 
-void TurnRun::Admit() {
-  if (!partition_->admits()) {
-    // The partition moved while the chain was searched.
-    EndWithout({.status = 503, .reason = "owner_changed", .retry_after = kOwnerRetryAfter});
-    return;
-  }
-  if (!request_.program.budget) {
-    admitted_ = true;
-    reserved_ = true;
-    Call();
-    return;
-  }
-  const ledger::TurnDemand demand{.program = request_.program.program,
-                                  .budget = *request_.program.budget,
-                                  .maximum = request_.program.max_output};
-  const ledger::Admission admission = partition_->ledger().Admit(demand, context_.loop.Now());
-  if (const auto* spent = std::get_if<ledger::BudgetSpent>(&admission)) {
-    context_.events.Write("budget_spent",
-                          {{"id", request_.id.value()},
-                           {"program", request_.program.program.value()},
-                           {"budget", static_cast<std::int64_t>(request_.program.budget->value())},
-                           {"spent", static_cast<std::int64_t>(spent->spent.value())},
-                           {"in_flight", static_cast<std::int64_t>(spent->in_flight.value())},
-                           {"epoch", static_cast<std::int64_t>(partition_->epoch().value())}});
-    EndWithout({.status = 402, .reason = "budget_spent"});
-    return;
-  }
-  admitted_ = true;
-  claim_ = partition_->ledger().ClaimOf(demand);
-  Reserve(admission, TokenCount());
-  if (!ended_) {
-    Call();
-  }
-}
-
-void TurnRun::Reserve(const ledger::Admission& admission, TokenCount counted) {
-  if (const auto* needed = std::get_if<ledger::SpendNeedsRecord>(&admission)) {
-    reserved_ = false;
-    partition_->Append({.spend = needed->spend}, [weak = weak_from_this(), counted](bool durable) {
-      if (const auto self = weak.lock()) {
-        self->OnReservation(durable, counted);
-      }
-    });
-    return;
-  }
-  reserved_ = true;
-  if (const auto& ahead = std::get<ledger::SpendGranted>(admission).spend) {
-    // Kept alive until the record's fate is known.
-    partition_->Append({.spend = ahead}, [self = shared_from_this(), counted](bool durable) {
-      if (!durable && !self->record_lost_) {
-        self->record_lost_ = true;
-        self->counted_ = counted;
-      }
-      self->CountElsewhere();
-    });
-  }
-}
-
-void TurnRun::ExtendClaim() {
-  const TokenCount handed_out((events_passed_ + partial_event_) *
-                              request_.tokens_per_event.value());
-  if (!admitted_ || !request_.program.budget || handed_out <= claim_.covered) {
-    return;
-  }
-  const TokenCount counted = claim_.covered;
-  Reserve(partition_->ledger().Extend(claim_), counted);
-}
-
 void TurnRun::Call() {
   CallPlan plan{.id = request_.id,
                 .service = request_.service,
@@ -182,50 +107,6 @@
   call_->Start();
 }
 
-void TurnRun::OnReservation(bool durable, TokenCount counted) {
-  if (durable || ended_) {
-    OnReserved(durable);
-    return;
-  }
-  // The partition has moved; its next owner reserves the tokens instead.
-  services_.commit_elsewhere({.program = request_.program.program,
-                              .tokens = claim_.covered - counted,
-                              .budget = *request_.program.budget},
-                             deadline_, [weak = weak_from_this()](bool reserved) {
-                               if (const auto self = weak.lock()) {
-                                 self->OnReserved(reserved);
-                               }
-                             });
-}
-
-void TurnRun::OnReserved(bool durable) {
-  if (ended_) {
-    return;
-  }
-  if (!durable) {
-    if (call_ != nullptr) {
-      call_->Cancel();
-    }
-    EndWithout({.status = 502, .reason = "owner_changed"});
-    return;
-  }
-  reserved_ = true;
-  if (held_head_) {
-    const auto head = *std::exchange(held_head_, std::nullopt);
-    begun_ = true;
-    sink_->Head(head.first, head.second);
-  }
-  // Older than what was held for the reservation.
-  PassHeldBack();
-  if (!held_.empty()) {
-    const std::string held = std::exchange(held_, {});
-    sink_->Data(held);
-  }
-  if (call_outcome_) {
-    OnCallDone(*call_outcome_);
-  }
-}
-
 void TurnRun::OnHead(int status, const net::Headers& headers) {
   status_ = status;
   if (!reserved_) {
@@ -311,125 +192,6 @@
   RecordTurn();
 }
 
-void TurnRun::RecordTurn() {
-  recording_since_ = context_.loop.Now();
-  for (const ledger::Turn& turn : imported_) {
-    partition_->Append({.turn = turn}, [](bool) {});
-  }
-  ledger::Record record;
-  const TokenCount used(events_passed_ * request_.tokens_per_event.value());
-  if (request_.program.budget) {
-    record.spend = partition_->ledger().SpendAtEnd(claim_, used);
-  }
-  record.turn = ledger::Turn{.id = ledger::TurnId(request_.id.value()),
-                             .parent = request_.program.previous_turn,
-                             .input = std::move(request_.body),
-                             .output = std::move(output_),
-                             .recorded_at = net::Loop::WallNow(),
-                             .retention = Duration(request_.retention_us)};
-  recording_ = record.turn;
-  Settle();
-  const auto self = shared_from_this();
-  if (partition_->stalled()) {
-    RecordAnywhere();
-  } else {
-    anywhere_timer_ = context_.loop.After(kRecordAnywhereAfter, [this] { RecordAnywhere(); });
-  }
-  partition_->Append(record, [weak = weak_from_this()](bool durable) {
-    const auto live = weak.lock();
-    if (!live || live->ended_) {
-      return;
-    }
-    if (durable) {
-      live->OnRecorded(true);
-    } else {
-      live->RecordAtNextOwner();
-    }
-  });
-}
-
-void TurnRun::RecordAtNextOwner() {
-  // The next owner has counted the tokens, which were below the recorded ceiling. It does not have
-  // the turns of the chain whose records were lost with the partition.
-  std::vector<ledger::Turn> turns = imported_;
-  for (const ledger::Turn& turn :
-       partition_->ledger().UnrecordedOf(request_.program.previous_turn)) {
-    turns.push_back(turn);
-  }
-  turns.push_back(*recording_);
-  services_.commit_elsewhere({.program = request_.program.program, .turns = std::move(turns)},
-                             deadline_, [weak = weak_from_this()](bool recorded) {
-                               if (const auto live = weak.lock()) {
-                                 live->OnRecorded(recorded);
-                               }
-                             });
-}
-
-void TurnRun::RecordAnywhere() {
-  std::vector<ledger::Turn> turns = imported_;
-  const ledger::TurnId& previous = request_.program.previous_turn;
-  if (!previous.empty() && turns.empty()) {
-    const auto chain = partition_->ledger().Chain(previous);
-    if (!chain) {
-      return;
-    }
-    for (const ledger::Turn* turn : *chain) {
-      turns.push_back(*turn);
-    }
-  }
-  turns.push_back(*recording_);
-  cancel_anywhere_ = services_.record_anywhere(
-      {.program = request_.program.program, .turns = turns, .anywhere = true}, deadline_,
-      [weak = weak_from_this(), turns](bool durable) {
-        const auto self = weak.lock();
-        if (!self || self->ended_ || !durable) {
-          return;
-        }
-        // The program's next turn finds its chain here.
-        self->partition_->ledger().AddRecordedElsewhere(turns);
-        self->context_.events.Write("recorded_elsewhere",
-                                    {{"id", self->request_.id.value()},
-                                     {"partition", self->partition_->id().value()},
-                                     {"turns", static_cast<std::int64_t>(turns.size())}});
-        self->OnRecorded(true);
-      });
-}
-
-void TurnRun::OnRecorded(bool durable) {
-  if (ended_) {
-    return;
-  }
-  if (durable) {
-    const auto self = shared_from_this();
-    PassHeldBack();
-    sink_->End();
-    Ended("completed");
-  } else {
-    EndWithout({.status = 502, .reason = "owner_changed"});
-  }
-}
-
-void TurnRun::Settle() {
-  if (!admitted_) {
-    return;
-  }
-  admitted_ = false;
-  if (request_.program.budget) {
-    used_ = TokenCount((events_passed_ + partial_event_) * request_.tokens_per_event.value());
-    partition_->ledger().Settle(claim_, used_);
-    CountElsewhere();
-  }
-}
-
-void TurnRun::CountElsewhere() {
-  if (record_lost_ && !admitted_ && used_ > counted_) {
-    record_lost_ = false;
-    services_.commit_elsewhere(
-        {.program = request_.program.program, .handed_out = used_ - counted_},
-        context_.loop.Now() + kLateCommitTime, [](bool) {});
-  }
-}
-
 void TurnRun::OnDeadline() {
   const auto self = shared_from_this();
   if (ended_) {
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -13,6 +13,9 @@
 
 namespace acaciaspring::gateway {
 
+/// @brief A partition moves within about this time.
+inline constexpr Duration kOwnerRetryAfter = std::chrono::milliseconds(300);
+
 /// @brief What a search for a turn in all partitions found.
 struct ChainFound {
   std::vector<ledger::Turn> turns;
--- /dev/null
+++ b/src/gateway/turn_run_record.cc
@@ -0,0 +1,112 @@
+#include "src/gateway/turn_run.h"
+
+#include <utility>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+// Beyond it the partition is probably away; a slow store answers in 240 ms.
+constexpr Duration kRecordAnywhereAfter = std::chrono::milliseconds(300);
+
+}  // namespace
+
+void TurnRun::RecordTurn() {
+  recording_since_ = context_.loop.Now();
+  for (const ledger::Turn& turn : imported_) {
+    partition_->Append({.turn = turn}, [](bool) {});
+  }
+  ledger::Record record;
+  const TokenCount used(events_passed_ * request_.tokens_per_event.value());
+  if (request_.program.budget) {
+    record.spend = partition_->ledger().SpendAtEnd(claim_, used);
+  }
+  record.turn = ledger::Turn{.id = ledger::TurnId(request_.id.value()),
+                             .parent = request_.program.previous_turn,
+                             .input = std::move(request_.body),
+                             .output = std::move(output_),
+                             .recorded_at = net::Loop::WallNow(),
+                             .retention = Duration(request_.retention_us)};
+  recording_ = record.turn;
+  Settle();
+  const auto self = shared_from_this();
+  if (partition_->stalled()) {
+    RecordAnywhere();
+  } else {
+    anywhere_timer_ = context_.loop.After(kRecordAnywhereAfter, [this] { RecordAnywhere(); });
+  }
+  partition_->Append(record, [weak = weak_from_this()](bool durable) {
+    const auto live = weak.lock();
+    if (!live || live->ended_) {
+      return;
+    }
+    if (durable) {
+      live->OnRecorded(true);
+    } else {
+      live->RecordAtNextOwner();
+    }
+  });
+}
+
+void TurnRun::RecordAtNextOwner() {
+  // The next owner has counted the tokens, which were below the recorded ceiling. It does not have
+  // the turns of the chain whose records were lost with the partition.
+  std::vector<ledger::Turn> turns = imported_;
+  for (const ledger::Turn& turn :
+       partition_->ledger().UnrecordedOf(request_.program.previous_turn)) {
+    turns.push_back(turn);
+  }
+  turns.push_back(*recording_);
+  services_.commit_elsewhere({.program = request_.program.program, .turns = std::move(turns)},
+                             deadline_, [weak = weak_from_this()](bool recorded) {
+                               if (const auto live = weak.lock()) {
+                                 live->OnRecorded(recorded);
+                               }
+                             });
+}
+
+void TurnRun::RecordAnywhere() {
+  std::vector<ledger::Turn> turns = imported_;
+  const ledger::TurnId& previous = request_.program.previous_turn;
+  if (!previous.empty() && turns.empty()) {
+    const auto chain = partition_->ledger().Chain(previous);
+    if (!chain) {
+      return;
+    }
+    for (const ledger::Turn* turn : *chain) {
+      turns.push_back(*turn);
+    }
+  }
+  turns.push_back(*recording_);
+  cancel_anywhere_ = services_.record_anywhere(
+      {.program = request_.program.program, .turns = turns, .anywhere = true}, deadline_,
+      [weak = weak_from_this(), turns](bool durable) {
+        const auto self = weak.lock();
+        if (!self || self->ended_ || !durable) {
+          return;
+        }
+        // The program's next turn finds its chain here.
+        self->partition_->ledger().AddRecordedElsewhere(turns);
+        self->context_.events.Write("recorded_elsewhere",
+                                    {{"id", self->request_.id.value()},
+                                     {"partition", self->partition_->id().value()},
+                                     {"turns", static_cast<std::int64_t>(turns.size())}});
+        self->OnRecorded(true);
+      });
+}
+
+void TurnRun::OnRecorded(bool durable) {
+  if (ended_) {
+    return;
+  }
+  if (durable) {
+    const auto self = shared_from_this();
+    PassHeldBack();
+    sink_->End();
+    Ended("completed");
+  } else {
+    EndWithout({.status = 502, .reason = "owner_changed"});
+  }
+}
+
+}  // namespace acaciaspring::gateway
