Count the length before each record in the size of an append

A batch was filled up to the store's limit without the four bytes before each record, so that after an outage with a full queue the append was refused and repeated without end, and its partition took no records.

--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -290,6 +290,8 @@
   /// Largest piece and largest append that the store takes.
   std::size_t piece_bytes = std::size_t{256} << 10;
   std::size_t append_bytes = std::size_t{2} << 20;
+  /// What the store counts for each piece beside its bytes: the length before it.
+  std::size_t piece_overhead_bytes = 4;
   /// Wait before an append or read is repeated; doubles up to the maximum.
   Duration retry_delay = std::chrono::milliseconds(30);
   Duration max_retry_delay = std::chrono::milliseconds(400);
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -126,7 +126,7 @@
   while (!queue_.empty()) {
     std::size_t size = 0;
     for (const std::string& piece : queue_.front().pieces) {
-      size += piece.size();
+      size += piece.size() + options_.piece_overhead_bytes;
     }
     if (!batch_.empty() && bytes + size > options_.append_bytes) {
       break;
--- a/src/ledger/partition_test.cc
+++ b/src/ledger/partition_test.cc
@@ -73,6 +73,24 @@
   BOOST_TEST(!Knows(next, "late"));
 }
 
+// Guards against an append that the store refuses again and again because it is too large: many
+// records wait in an outage, and the length before each of them counts (incident 13).
+BOOST_AUTO_TEST_CASE(append_after_an_outage_is_within_what_the_store_takes) {
+  constexpr std::size_t kAppendBytes = 4096;
+  TestStore store;
+  const auto owner = Own(store, 1, {.append_bytes = kAppendBytes});
+  store.Run(kSettle);
+  store.SetAway(kPartition, true);
+  for (int i = 0; i < 1000; ++i) {
+    AppendTurn(owner, std::to_string(i));
+  }
+  store.Run(kSettle);
+  store.SetAway(kPartition, false);
+  store.Run(kSettle);
+  BOOST_TEST(Knows(owner, "999"));
+  BOOST_TEST(store.largest_append() <= kAppendBytes);
+}
+
 // Guards against a turn that is written twice, or reported lost, when the store's answer is lost.
 BOOST_AUTO_TEST_CASE(lost_answer_is_repeated_without_a_second_record) {
   TestStore store;
--- a/src/ledger/test_store.h
+++ b/src/ledger/test_store.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASPRING_SRC_LEDGER_TEST_STORE_H_
 #define ACACIASPRING_SRC_LEDGER_TEST_STORE_H_
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -31,6 +32,11 @@
       fates_.pop_front();
     }
     ++appends_;
+    std::size_t bytes = 0;
+    for (const std::string& piece : pieces) {
+      bytes += kLengthBytes + piece.size();
+    }
+    largest_append_ = std::max(largest_append_, bytes);
     if (away_.contains(partition)) {
       Post([=] { on_done(StoreUnavailable{}); });
       return;
@@ -119,6 +125,8 @@
   void SetFates(std::deque<Fate> fates) { fates_ = std::move(fates); }
   void SetPiecesPerRead(std::size_t pieces) { pieces_per_read_ = pieces; }
   std::size_t appends() const { return appends_; }
+  /// @brief Bytes of the largest append, with the length before each piece.
+  std::size_t largest_append() const { return largest_append_; }
   std::size_t size(PartitionId partition) {
     return logs_[partition].end() - logs_[partition].first();
   }
@@ -149,6 +157,7 @@
         result);
   }
 
+  static constexpr std::size_t kLengthBytes = 4;
   static constexpr Duration kAnswerTime = std::chrono::milliseconds(4);
   MonotonicTime now_{std::chrono::seconds(1000)};
   std::multimap<MonotonicTime, std::function<void()>> timers_;
@@ -158,6 +167,7 @@
   std::vector<std::function<void()>> late_;
   std::size_t pieces_per_read_ = 1000;
   std::size_t appends_ = 0;
+  std::size_t largest_append_ = 0;
   bool available_ = true;
 };
 
