One piece of code for repeated parts of the gateway and the programs' command lines

- CommitRelay chooses the own recorder for another daemon's request by ChooseRecorder, as for its own requests, instead of a second copy of the hash; Answer has one path.
- ChainSearch and CommitRelay end an exchange by FinishExchange.
- TurnRun computes the tokens handed out in one place.
- The two daemons and the soak parse their command lines by src/main/command_line.h.
- CommitRelay::Retry, called with each heartbeat of a peer, returns at once when nothing waits.
- Removed: Partition's queued_at and TurnRouter::running, which nothing read.

--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -346,7 +346,6 @@
     Record record;
     std::vector<std::string> pieces;
     std::function<void(bool)> on_done;
-    MonotonicTime queued_at;
   };
   struct Checkpoint {
     RecordOffset offset;
--- a/src/gateway/chain_search.cc
+++ b/src/gateway/chain_search.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "src/gateway/pending_exchange.h"
+
 namespace acaciaspring::gateway {
 
 namespace {
@@ -83,13 +85,7 @@
 }
 
 void ChainSearch::Finish(ExchangeId id, const ChainSearchResult& result) {
-  const auto found = searches_.find(id);
-  if (found == searches_.end()) {
-    return;
-  }
-  const OnFound on_done = std::move(found->second.on_done);
-  searches_.erase(found);
-  on_done(result);
+  FinishExchange(searches_, id, result);
 }
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/commit_relay.cc
+++ b/src/gateway/commit_relay.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/gateway/pending_exchange.h"
 #include "src/gateway/recorder_choice.h"
 
 namespace acaciaspring::gateway {
@@ -123,18 +124,18 @@
                     });
 }
 
-void CommitRelay::Answer(const CommitRequest& request, const PeerReply& reply) {
-  if (request.anywhere) {
-    const auto local = ownership_.Recorders();
-    if (local.empty() || request.turns.empty()) {
-      reply(CommitReply{.exchange = request.exchange});
-      return;
-    }
-    const std::size_t index = Hash64(request.program.value()) % local.size();
-    Record(local[index], request, [reply](const CommitReply& answer) { reply(answer); });
-    return;
+std::shared_ptr<ledger::Partition> CommitRelay::RecorderHere(const CommitRequest& request) const {
+  if (!request.anywhere) {
+    return ownership_.Serving(PartitionFor(request));
   }
-  const auto partition = ownership_.Serving(PartitionFor(request));
+  const auto local = ownership_.Recorders();
+  const auto choice = ChooseRecorder({.program = request.program, .local = local.size()});
+  const auto* recorder = std::get_if<LocalRecorder>(&choice);
+  return recorder == nullptr || request.turns.empty() ? nullptr : local[recorder->index];
+}
+
+void CommitRelay::Answer(const CommitRequest& request, const PeerReply& reply) {
+  const auto partition = RecorderHere(request);
   if (partition == nullptr) {
     reply(CommitReply{.exchange = request.exchange});
     return;
@@ -147,13 +148,16 @@
     Finish(reply.exchange, reply.durable);
     return;
   }
-  // The daemon no longer owns the partition; the next one is asked when it is known.
+  // The daemon cannot record it any more; the next one is asked when it is known.
   if (const auto found = pending_.find(reply.exchange); found != pending_.end()) {
     found->second.sent_to = DaemonId();
   }
 }
 
 void CommitRelay::Retry() {
+  if (pending_.empty()) {
+    return;
+  }
   // Asked once for all, because many turns wait in an outage of the whole store.
   const PeerLinks* links = links_();
   const bool recorders =
@@ -179,13 +183,7 @@
 }
 
 void CommitRelay::Finish(ExchangeId id, bool durable) {
-  const auto found = pending_.find(id);
-  if (found == pending_.end()) {
-    return;
-  }
-  const auto on_done = std::move(found->second.on_done);
-  pending_.erase(found);
-  on_done(durable);
+  FinishExchange(pending_, id, durable);
 }
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/commit_relay.h
+++ b/src/gateway/commit_relay.h
@@ -47,6 +47,8 @@
   void Record(const std::shared_ptr<ledger::Partition>& partition,
               const CommitRequest& request,
               std::function<void(const CommitReply&)> on_done);
+  /// @brief The partition of this daemon that can record the request for another one.
+  std::shared_ptr<ledger::Partition> RecorderHere(const CommitRequest& request) const;
   void Finish(ExchangeId id, bool durable);
   ledger::PartitionId PartitionFor(const CommitRequest& request) const;
 
--- a/src/gateway/test_daemon.h
+++ b/src/gateway/test_daemon.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASPRING_SRC_GATEWAY_TEST_DAEMON_H_
 #define ACACIASPRING_SRC_GATEWAY_TEST_DAEMON_H_
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -102,6 +103,16 @@
   TurnRouter router;
 };
 
+/// @brief Lets loop and store go on until the condition holds.
+inline void RunUntil(net::Loop& loop,
+                     ledger::TestStore& store,
+                     const std::function<bool()>& condition) {
+  net::RunUntil(loop, [&] {
+    store.Run(std::chrono::milliseconds(5));
+    return condition();
+  });
+}
+
 /// @brief A retained turn with one event; its input names it.
 inline TurnRequest MakeTurnRequest(const ProgramId& program,
                                    const std::string& id,
--- a/src/gateway/turn_router.h
+++ b/src/gateway/turn_router.h
@@ -31,8 +31,6 @@
   void OnMessage(const DaemonId& daemon, PeerMessage message, const PeerReply& reply);
   void OnPeerLost(const DaemonId& daemon);
   void OnAskerLost(const DaemonId& daemon);
-  /// @brief Turns that run at this daemon as the owner.
-  std::size_t running() const { return runs_.size(); }
   /// @brief Turns of own callers that have not ended, and turns that run here.
   std::size_t open_turns() const { return submitted_.size() + runs_.size(); }
 
--- a/src/gateway/turn_router_test.cc
+++ b/src/gateway/turn_router_test.cc
@@ -22,13 +22,7 @@
     daemon->router.Submit(MakeTurnRequest(program, id, previous, budget), sink);
     return sink;
   }
-  /// @brief Lets loop and store go on until the condition holds.
-  void Until(const std::function<bool()>& condition) {
-    net::RunUntil(loop, [&] {
-      store.Run(std::chrono::milliseconds(5));
-      return condition();
-    });
-  }
+  void Until(const std::function<bool()>& condition) { RunUntil(loop, store, condition); }
   void RunToEnd(const std::shared_ptr<RecordingSink>& sink) {
     Until([&] { return sink->over(); });
   }
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -80,6 +80,8 @@
   void RecordAnywhere();
   void RecordAtNextOwner();
   void OnDeadline();
+  /// @brief Tokens of the events so far; a piece of an event that breaks off counts as a whole one.
+  TokenCount HandedOut() const;
   void Settle();
   void CountElsewhere();
   void EndWithout(const Refusal& refusal);
--- a/src/gateway/turn_run_budget.cc
+++ b/src/gateway/turn_run_budget.cc
@@ -70,9 +70,7 @@
 }
 
 void TurnRun::ExtendClaim() {
-  const TokenCount handed_out((events_passed_ + partial_event_) *
-                              request_.tokens_per_event.value());
-  if (!admitted_ || !request_.program.budget || handed_out <= claim_.covered) {
+  if (!admitted_ || !request_.program.budget || HandedOut() <= claim_.covered) {
     return;
   }
   const TokenCount counted = claim_.covered;
@@ -123,13 +121,17 @@
   }
 }
 
+TokenCount TurnRun::HandedOut() const {
+  return TokenCount((events_passed_ + partial_event_) * request_.tokens_per_event.value());
+}
+
 void TurnRun::Settle() {
   if (!admitted_) {
     return;
   }
   admitted_ = false;
   if (request_.program.budget) {
-    used_ = TokenCount((events_passed_ + partial_event_) * request_.tokens_per_event.value());
+    used_ = HandedOut();
     partition_->ledger().Settle(claim_, used_);
     CountElsewhere();
   }
--- a/src/gateway/turn_run_record.cc
+++ b/src/gateway/turn_run_record.cc
@@ -17,9 +17,8 @@
     partition_->Append({.turn = turn}, [](bool) {});
   }
   ledger::Record record;
-  const TokenCount used(events_passed_ * request_.tokens_per_event.value());
   if (request_.program.budget) {
-    record.spend = partition_->ledger().SpendAtEnd(claim_, used);
+    record.spend = partition_->ledger().SpendAtEnd(claim_, HandedOut());
   }
   record.turn = ledger::Turn{.id = ledger::TurnId(request_.id.value()),
                              .parent = request_.program.previous_turn,
--- a/src/gateway/turn_run_test.cc
+++ b/src/gateway/turn_run_test.cc
@@ -46,12 +46,7 @@
     run->Start();
     return run;
   }
-  void Until(const std::function<bool()>& condition) {
-    net::RunUntil(loop, [&] {
-      store.Run(std::chrono::milliseconds(5));
-      return condition();
-    });
-  }
+  void Until(const std::function<bool()>& condition) { RunUntil(loop, store, condition); }
   std::shared_ptr<ledger::Partition> partition() const {
     return daemon.ownership.Serving(ledger::PartitionOf(program, kPartitions));
   }
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -113,8 +113,7 @@
   }
   queue_.push_back({.record = record,
                     .pieces = EncodeRecord(record, options_.piece_bytes),
-                    .on_done = std::move(on_done),
-                    .queued_at = store_.Now()});
+                    .on_done = std::move(on_done)});
   Flush();
 }
 
--- a/src/main/acaciaspring_gatewayd.cc
+++ b/src/main/acaciaspring_gatewayd.cc
@@ -6,14 +6,15 @@
 #include <iostream>
 
 #include "platform/node.h"
+#include "src/main/command_line.h"
 
 namespace {
 
 namespace options = boost::program_options;
 namespace platform = acaciaspring::platform;
 
-constexpr int kUsageError = 2;
-constexpr int kRuntimeError = 1;
+using acaciaspring::kRuntimeError;
+using acaciaspring::kUsageError;
 
 int Run(const std::string& path) {
   acaciaspring::net::Loop loop;
@@ -44,18 +45,12 @@
       "settings,s", options::value<std::string>(),
       "settings file (TOML); default: the variable ACACIASPRING_SETTINGS")(
       "check", "check the settings and exit");
-  options::variables_map values;
-  try {
-    options::store(options::parse_command_line(argc, argv, description), values);
-    options::notify(values);
-  } catch (const options::error& error) {
-    std::cerr << "acaciaspring_gatewayd: " << error.what() << "\n";
-    return kUsageError;
-  }
-  if (values.contains("help")) {
-    std::cout << description;
-    return 0;
+  const auto parsed =
+      acaciaspring::ParseCommandLine(argc, argv, "acaciaspring_gatewayd", description);
+  if (const auto* status = std::get_if<int>(&parsed)) {
+    return *status;
   }
+  const auto& values = std::get<options::variables_map>(parsed);
   const char* variable = std::getenv("ACACIASPRING_SETTINGS");
   const std::string path = values.contains("settings") ? values["settings"].as<std::string>()
                            : variable != nullptr       ? std::string(variable)
--- a/src/main/acaciaspringd.cc
+++ b/src/main/acaciaspringd.cc
@@ -5,13 +5,14 @@
 #include <iostream>
 
 #include "acaciaspring/daemon.h"
+#include "src/main/command_line.h"
 
 namespace {
 
 namespace options = boost::program_options;
 
-constexpr int kUsageError = 2;
-constexpr int kRuntimeError = 1;
+using acaciaspring::kRuntimeError;
+using acaciaspring::kUsageError;
 
 int RunDaemon(const std::string& settings_path) {
   acaciaspring::net::Loop loop;
@@ -33,18 +34,11 @@
   description.add_options()("help,h", "print this text")(
       "settings,s", options::value<std::string>(), "settings file (JSON with comments)")(
       "check", "check the settings and exit");
-  options::variables_map values;
-  try {
-    options::store(options::parse_command_line(argc, argv, description), values);
-    options::notify(values);
-  } catch (const options::error& error) {
-    std::cerr << "acaciaspringd: " << error.what() << "\n";
-    return kUsageError;
-  }
-  if (values.contains("help")) {
-    std::cout << description;
-    return 0;
+  const auto parsed = acaciaspring::ParseCommandLine(argc, argv, "acaciaspringd", description);
+  if (const auto* status = std::get_if<int>(&parsed)) {
+    return *status;
   }
+  const auto& values = std::get<options::variables_map>(parsed);
   if (!values.contains("settings")) {
     std::cerr << "acaciaspringd: --settings is required\n";
     return kUsageError;
--- a/src/main/soak.cc
+++ b/src/main/soak.cc
@@ -7,14 +7,13 @@
 #include <vector>
 
 #include "platform/soak/soak.h"
+#include "src/main/command_line.h"
 
 namespace {
 
 namespace options = boost::program_options;
 namespace soak = acaciaspring::soak;
 
-constexpr int kUsageError = 2;
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -30,17 +29,9 @@
       "daemons", options::value(&run.daemons)->default_value(4), "number of daemons")(
       "programs", options::value(&run.programs)->default_value(12), "programs at a time")(
       "seconds", options::value(&seconds)->default_value(20), "time with faults");
-  options::variables_map values;
-  try {
-    options::store(options::parse_command_line(argc, argv, description), values);
-    if (values.contains("help")) {
-      std::cout << description;
-      return 0;
-    }
-    options::notify(values);
-  } catch (const options::error& error) {
-    std::cerr << "acaciaspring_soak: " << error.what() << "\n";
-    return kUsageError;
+  const auto parsed = acaciaspring::ParseCommandLine(argc, argv, "acaciaspring_soak", description);
+  if (const auto* status = std::get_if<int>(&parsed)) {
+    return *status;
   }
   google::InitGoogleLogging(argv[0]);
   FLAGS_logtostderr = true;
@@ -51,7 +42,7 @@
     violations = soak::Soak(run).Run();
   } catch (const std::exception& error) {
     std::cerr << "acaciaspring_soak: " << error.what() << "\n";
-    return 1;
+    return acaciaspring::kRuntimeError;
   }
   for (const std::string& violation : violations) {
     std::cout << "VIOLATION seed " << run.seed << ": " << violation << "\n";
