Give each shared prompt prefix a home set of engines

Cause: the engine with the fewest calls in flight was chosen, so every engine met every shared prefix.

Change: HomeSets (routing, no I/O) ranks the engines of each zone by rendezvous hashing and sizes the set of a prefix by its share of the demand, within half of the engines' KV memory. The gateway compares engines by expected delay: running calls, queue, tokens to read, measured event interval, zone, failures. The prompt travels with the turn to its owner; daemons of earlier versions can not decode the new TurnRequest.

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -12,6 +12,7 @@
 #include "acaciaspring/base.h"
 #include "acaciaspring/ledger.h"
 #include "acaciaspring/net.h"
+#include "acaciaspring/routing.h"
 #include "acaciaspring/telemetry.h"
 
 namespace acaciaspring::gateway {
@@ -61,6 +62,8 @@
   ServiceId id = {};
   /// Tokens represented by one event of a stream; 0 if the service is not a model engine.
   TokenCount tokens_per_event = {};
+  /// KV memory of one engine; 0 if it is unknown.
+  TokenCount kv_capacity = {};
 };
 
 /// @brief Limits on the size and the idle time of callers' requests.
@@ -134,6 +137,19 @@
   }
 };
 
+/// @brief Size of a model call's prompt and the prefix that it shares with other programs.
+struct Prompt {
+  /// 0 for a call without a prompt.
+  TokenCount tokens = {};
+  std::optional<SharedPrefix> shared_prefix = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    SharedPrefix prefix = shared_prefix.value_or(SharedPrefix());
+    archive(tokens, prefix.id, prefix.tokens);
+    shared_prefix = prefix.tokens == TokenCount() ? std::nullopt : std::optional(prefix);
+  }
+};
+
 /// @brief A request received from a caller.
 struct CallerRequest {
   RequestId id = {};
@@ -148,6 +164,7 @@
   /// How long the caller waits for the response.
   std::optional<Duration> deadline = {};
   std::optional<ProgramContext> program = {};
+  Prompt prompt = {};
 };
 
 /// @brief Names of the headers exchanged with endpoints and callers, in lower case.
--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -115,6 +115,88 @@
   std::unordered_map<EndpointId, std::uint32_t> endpoint_indices_;
 };
 
+/// @brief A part of a prompt. Programs share the leading parts; the last part belongs to one
+/// request or session.
+struct PromptPart {
+  PrefixId id;
+  TokenCount tokens;
+};
+
+/// @brief A prefix that the prompts of several programs have in common.
+struct SharedPrefix {
+  PrefixId id;
+  TokenCount tokens;
+};
+
+/// @brief Returns the shortest prefix with at least half of the tokens before the last part; none
+/// if the prompt has fewer than two parts.
+std::optional<SharedPrefix> FindSharedPrefix(std::span<const PromptPart> parts);
+
+struct HomeSetOptions {
+  /// Part of a zone's endpoints that is in the set of a prefix, relative to the prefix's share of
+  /// the requests.
+  double headroom = 2;
+  /// Minimum number of endpoints of a set in each zone.
+  std::uint32_t min_size = 2;
+  /// Fraction of an endpoint's KV memory that shared prefixes may occupy.
+  double max_memory_share = 0.5;
+  /// Time constant of the moving average of the demand.
+  Duration demand_window = std::chrono::seconds(30);
+  /// Maximum number of prefixes with recorded demand; the least demanded one is removed first.
+  std::size_t max_prefixes = 1024;
+};
+
+struct HomeSetMember {
+  EndpointId endpoint;
+  AvailabilityZone zone;
+};
+
+/// @brief Assigns each shared prefix a set of endpoints of one service, so that an endpoint reads
+/// and caches few prefixes.
+///
+/// Endpoints are ranked by rendezvous hashing, so that all daemons get nested sets without an
+/// exchange of messages, and a change of the endpoints affects few sets.
+class HomeSets {
+ public:
+  HomeSets() = default;
+  explicit HomeSets(HomeSetOptions options);
+  /// @brief Sets the endpoints that accept requests.
+  void SetMembers(const std::vector<HomeSetMember>& members);
+  /// @brief Sets the KV memory of one endpoint; 0 if it is unknown.
+  void SetMemory(TokenCount memory) { memory_ = memory; }
+  /// @brief Counts a request as demand for the prefix.
+  void OnRequest(const SharedPrefix& prefix, MonotonicTime now);
+  /// @brief Sets `is_member`, for each endpoint in the order of SetMembers(), to whether it is in
+  /// the set of the prefix.
+  void FindMembers(PrefixId prefix, MonotonicTime now, std::vector<bool>& is_member);
+
+ private:
+  struct Member {
+    std::uint64_t hash = 0;
+    std::uint32_t zone = 0;
+  };
+  struct Demand {
+    double weight = 0;
+    TokenCount tokens;
+    MonotonicTime updated{};
+  };
+
+  void Update(Demand& demand, MonotonicTime now) const;
+  void RemoveLeastDemanded(MonotonicTime now);
+  double Headroom(MonotonicTime now);
+  /// Rank of each member in its zone.
+  const std::vector<std::uint32_t>& Ranks(PrefixId prefix);
+
+  HomeSetOptions options_ = {};
+  TokenCount memory_;
+  std::vector<Member> members_;
+  std::vector<std::uint32_t> zone_sizes_;
+  Demand total_;
+  std::unordered_map<PrefixId, Demand> demands_;
+  /// Ranks by prefix; cleared when the members change.
+  std::unordered_map<PrefixId, std::vector<std::uint32_t>> ranks_;
+};
+
 /// @brief Speed of an endpoint. For a plain service, which generates no tokens, the token rates and
 /// intervals are 0.
 struct EndpointSpeed {
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} << 10;
 // Minimum time for an attempt of an idempotent request before another endpoint is tried.
 constexpr Duration kMinAttemptTime = std::chrono::milliseconds(250);
+// Streams with fewer events say little about the speed of their engine.
+constexpr std::uint32_t kMinMeasuredEvents = 3;
 
 }  // namespace
 
@@ -34,13 +36,20 @@
 void EndpointCall::Start() {
   const auto remaining = std::chrono::duration_cast<Duration>(plan_.deadline - context_.loop.Now());
   deadline_timer_ = context_.loop.After(std::max(remaining, Duration(0)), [this] { OnDeadline(); });
+  if (plan_.prompt.shared_prefix) {
+    context_.endpoints.OnDemand(plan_.service, *plan_.prompt.shared_prefix, context_.loop.Now());
+  }
   Attempt();
 }
 
 void EndpointCall::Attempt() {
-  const RegisteredEndpoint* endpoint = context_.endpoints.Choose(
-      {.service = plan_.service, .preferred = plan_.preferred, .excluded = tried_endpoints_},
-      context_.loop.Now(), context_.random);
+  const RegisteredEndpoint* endpoint =
+      context_.endpoints.Choose({.service = plan_.service,
+                                 .preferred = plan_.preferred,
+                                 .excluded = tried_endpoints_,
+                                 .prompt = plan_.prompt.tokens,
+                                 .shared_prefix = plan_.prompt.shared_prefix},
+                                context_.loop.Now(), context_.random);
   if (endpoint == nullptr) {
     // Posted, so that no callback runs before Start returns.
     const NotRunReason reason =
@@ -62,6 +71,8 @@
   status_ = 0;
   buffered_body_.clear();
   in_flight_ = true;
+  attempt_started_ = context_.loop.Now();
+  events_ = 0;
   context_.endpoints.OnStarted(endpoint_);
   if (plan_.kind == RequestKind::kIdempotent && possible_runs_ + 1 < plan_.max_attempts) {
     const auto remaining =
@@ -120,6 +131,7 @@
     return;
   }
   if (delivering_) {
+    MeasureStream(data);
     callbacks_.on_data(data);
     return;
   }
@@ -129,6 +141,16 @@
   }
 }
 
+void EndpointCall::MeasureStream(std::string_view data) {
+  if (!IsStream() || !data.ends_with("\n\n")) {
+    return;
+  }
+  last_event_at_ = context_.loop.Now();
+  if (++events_ == 1) {
+    first_event_at_ = last_event_at_;
+  }
+}
+
 void EndpointCall::StartDelivery() {
   delivering_ = true;
   attempt_timer_.Cancel();
@@ -169,6 +191,13 @@
     return;
   }
   const auto self = shared_from_this();
+  if (events_ > 0 && !server_error) {
+    const MonotonicTime now = context_.loop.Now();
+    const auto streaming = std::chrono::duration_cast<Duration>(last_event_at_ - first_event_at_);
+    context_.endpoints.OnStreamCompleted(
+        endpoint_, std::chrono::duration_cast<Duration>(now - attempt_started_),
+        events_ < kMinMeasuredEvents ? Duration(0) : streaming / (events_ - 1), now);
+  }
   if (!delivering_) {
     StartDelivery();
   }
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -24,6 +24,7 @@
   MonotonicTime deadline = {};
   /// Endpoint that probably has the prompt's prefix cached; may be empty.
   EndpointId preferred = {};
+  Prompt prompt = {};
 };
 
 /// @brief Callbacks of a call. The head and the data come from a single endpoint.
@@ -62,6 +63,7 @@
   void EndAttempt(AttemptResult result);
   void LogAttempt(AttemptResult result) const;
   void StartDelivery();
+  void MeasureStream(std::string_view data);
   void Finish(const Outcome& outcome);
   bool IsStream() const;
   bool MayRunAgain() const;
@@ -79,6 +81,11 @@
   /// All attempts, executed or not.
   std::uint32_t attempts_ = 0;
   bool in_flight_ = false;
+  MonotonicTime attempt_started_;
+  /// Events of the stream, and the times of the first and the last one.
+  std::uint32_t events_ = 0;
+  MonotonicTime first_event_at_;
+  MonotonicTime last_event_at_;
   int status_ = 0;
   net::Headers response_headers_;
   /// The endpoint reported that it did not execute the request.
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -1,12 +1,21 @@
 #include "src/gateway/endpoint_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acaciaspring::gateway {
 
+namespace {
+
+// Range of the random part of a cost, in running calls.
+constexpr double kJitterCalls = 2.0;
+// Added to the delay of an avoided endpoint, which is chosen only if all others are avoided too.
+constexpr double kAvoidedDelay = 1e9;
+
+}  // namespace
+
 void EndpointTable::SetEndpoints(std::vector<RegisteredEndpoint> endpoints) {
   std::unordered_map<EndpointId, Entry> updated;
-  by_service_.clear();
   for (RegisteredEndpoint& endpoint : endpoints) {
     const EndpointId id = endpoint.id;
     Entry entry;
@@ -18,11 +27,47 @@
         known->second.description.address == endpoint.address) {
       entry = known->second;
     }
-    by_service_[endpoint.service].push_back(id);
     entry.description = std::move(endpoint);
     updated.insert_or_assign(id, std::move(entry));
   }
   endpoints_ = std::move(updated);
+  UpdateServices();
+}
+
+void EndpointTable::UpdateServices() {
+  std::unordered_map<ServiceId, std::vector<EndpointId>> usable;
+  for (const auto& [id, entry] : endpoints_) {
+    if (entry.description.state == EndpointState::kReady) {
+      usable[entry.description.service].push_back(id);
+    }
+  }
+  std::erase_if(services_, [&](const auto& service) { return !usable.contains(service.first); });
+  for (auto& [id, endpoints] : usable) {
+    // Sorted, so that an unchanged list is recognised.
+    std::sort(endpoints.begin(), endpoints.end());
+    ServiceEntry& service =
+        services_.try_emplace(id, ServiceEntry{.home_sets = HomeSets(options_.home_sets)})
+            .first->second;
+    if (service.endpoints == endpoints) {
+      continue;
+    }
+    std::vector<HomeSetMember> members;
+    for (const EndpointId& endpoint : endpoints) {
+      members.push_back({.endpoint = endpoint, .zone = endpoints_.at(endpoint).description.zone});
+    }
+    service.home_sets.SetMembers(members);
+    if (const auto memory = engine_memory_.find(id); memory != engine_memory_.end()) {
+      service.home_sets.SetMemory(memory->second);
+    }
+    service.endpoints = std::move(endpoints);
+  }
+}
+
+void EndpointTable::SetEngineMemory(const ServiceId& service, TokenCount memory) {
+  engine_memory_[service] = memory;
+  if (const auto found = services_.find(service); found != services_.end()) {
+    found->second.home_sets.SetMemory(memory);
+  }
 }
 
 void EndpointTable::SetRemoteCounts(const DaemonId& daemon, const InFlightCounts& counts) {
@@ -71,11 +116,19 @@
 
 const RegisteredEndpoint* EndpointTable::Choose(const EndpointQuery& query,
                                                 MonotonicTime now,
-                                                std::mt19937_64& random) const {
-  const auto of_service = by_service_.find(query.service);
-  if (of_service == by_service_.end()) {
+                                                std::mt19937_64& random) {
+  const auto service = services_.find(query.service);
+  if (service == services_.end()) {
     return nullptr;
   }
+  return query.prompt == TokenCount() ? ChooseByLoad(service->second, query, now, random)
+                                      : ChooseForPrompt(service->second, query, now, random);
+}
+
+const RegisteredEndpoint* EndpointTable::ChooseByLoad(const ServiceEntry& service,
+                                                      const EndpointQuery& query,
+                                                      MonotonicTime now,
+                                                      std::mt19937_64& random) const {
   if (const auto preferred = endpoints_.find(query.preferred); preferred != endpoints_.end()) {
     const Entry& entry = preferred->second;
     if (Usable(entry, query) && entry.description.service == query.service &&
@@ -85,7 +138,7 @@
   }
   const RegisteredEndpoint* best = nullptr;
   double best_score = 0;
-  for (const EndpointId& id : of_service->second) {
+  for (const EndpointId& id : service.endpoints) {
     const Entry& entry = endpoints_.at(id);
     if (!Usable(entry, query)) {
       continue;
@@ -109,6 +162,108 @@
   return best;
 }
 
+const RegisteredEndpoint* EndpointTable::ChooseForPrompt(ServiceEntry& service,
+                                                         const EndpointQuery& query,
+                                                         MonotonicTime now,
+                                                         std::mt19937_64& random) {
+  const PromptCosts& costs = options_.prompt;
+  std::vector<bool> is_home;
+  TokenCount shared_tokens;
+  if (query.shared_prefix) {
+    service.home_sets.FindMembers(query.shared_prefix->id, now, is_home);
+    shared_tokens = std::min(query.shared_prefix->tokens, query.prompt);
+  }
+  // The counts of other daemons are older than many calls last, so daemons that compare the same
+  // counts must not all choose the same engine.
+  std::uniform_real_distribution<double> jitter(
+      0.0, kJitterCalls * static_cast<double>(costs.per_running_call.count()));
+  const RegisteredEndpoint* best = nullptr;
+  double best_cost = 0;
+  for (std::size_t i = 0; i < service.endpoints.size(); ++i) {
+    const Entry& entry = endpoints_.at(service.endpoints[i]);
+    if (!Usable(entry, query)) {
+      continue;
+    }
+    TokenCount uncached = query.prompt;
+    if (entry.description.id == query.preferred) {
+      uncached = TokenCount();
+    } else if (!is_home.empty() && is_home[i]) {
+      uncached -= shared_tokens;
+    }
+    const double cost = ExpectedDelay(service, entry, now) + jitter(random) +
+                        costs.per_uncached_token.count() * static_cast<double>(uncached.value());
+    if (best == nullptr || cost < best_cost) {
+      best = &entry.description;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+double EndpointTable::ExpectedDelay(const ServiceEntry& service,
+                                    const Entry& entry,
+                                    MonotonicTime now) const {
+  const PromptCosts& costs = options_.prompt;
+  const double call_duration = service.call_duration_us > 0
+                                   ? service.call_duration_us
+                                   : static_cast<double>(costs.initial_call_duration.count());
+  const std::uint32_t slots = std::max<std::uint32_t>(entry.description.slots, 1);
+  const std::uint32_t in_flight = entry.own_in_flight + entry.remote_in_flight;
+  double delay = static_cast<double>(std::min(in_flight, slots)) *
+                 static_cast<double>(costs.per_running_call.count());
+  if (in_flight >= slots) {
+    delay += (in_flight - slots + 1) * call_duration / slots;
+  }
+  if (entry.event_interval_us > 0 && service.event_interval_us > 0) {
+    const double relative_slowness = entry.event_interval_us / service.event_interval_us - 1;
+    const double age = static_cast<double>((now - entry.interval_updated).count());
+    const double validity = std::exp(-age / static_cast<double>(costs.interval_validity.count()));
+    delay += relative_slowness * validity * call_duration;
+  }
+  if (entry.description.zone != zone_) {
+    delay += static_cast<double>(costs.other_zone.count());
+  }
+  delay += entry.failure_rate * static_cast<double>(costs.failure.count());
+  if (entry.avoid_until > now) {
+    delay += kAvoidedDelay;
+  }
+  return delay;
+}
+
+void EndpointTable::OnDemand(const ServiceId& service,
+                             const SharedPrefix& prefix,
+                             MonotonicTime now) {
+  if (const auto found = services_.find(service); found != services_.end()) {
+    found->second.home_sets.OnRequest(prefix, now);
+  }
+}
+
+void EndpointTable::OnStreamCompleted(const EndpointId& endpoint,
+                                      Duration duration,
+                                      Duration interval,
+                                      MonotonicTime now) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end()) {
+    return;
+  }
+  Entry& entry = found->second;
+  const auto service = services_.find(entry.description.service);
+  if (service == services_.end()) {
+    return;
+  }
+  const double weight = options_.prompt.measurement_weight;
+  const auto update = [weight](double& average, Duration sample) {
+    const auto value = static_cast<double>(sample.count());
+    average = average > 0 ? average + weight * (value - average) : value;
+  };
+  update(service->second.call_duration_us, duration);
+  if (interval > Duration(0)) {
+    update(service->second.event_interval_us, interval);
+    update(entry.event_interval_us, interval);
+    entry.interval_updated = now;
+  }
+}
+
 void EndpointTable::OnStarted(const EndpointId& endpoint) {
   if (const auto found = endpoints_.find(endpoint); found != endpoints_.end()) {
     ++found->second.own_in_flight;
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -8,12 +8,32 @@
 #include <vector>
 
 #include "acaciaspring/gateway.h"
+#include "acaciaspring/routing.h"
 
 namespace acaciaspring::gateway {
 
 /// @brief Number of calls in flight by endpoint.
 using InFlightCounts = std::vector<std::pair<EndpointId, std::uint32_t>>;
 
+/// @brief Expected delays by which engines are compared for a prompt.
+struct PromptCosts {
+  /// Delay that one running call and the prompts of its successors cause to another.
+  Duration per_running_call = std::chrono::milliseconds(10);
+  /// Time to read a token that is not cached, including the delay of the calls that run beside it.
+  std::chrono::duration<double, std::micro> per_uncached_token{20};
+  /// Cost of another zone: latency, and bytes between zones.
+  Duration other_zone = std::chrono::milliseconds(15);
+  /// Duration of a call before the first one is measured.
+  Duration initial_call_duration = std::chrono::milliseconds(300);
+  /// Delay equivalent to a failure rate of 1.
+  Duration failure = std::chrono::seconds(1);
+  /// Weight of the latest call in the moving averages of durations and of token intervals.
+  double measurement_weight = 0.2;
+  /// Time after which a measured token interval counts little, so that a recovered engine is used
+  /// again.
+  Duration interval_validity = std::chrono::seconds(10);
+};
+
 struct EndpointTableOptions {
   /// How long an endpoint is avoided after a failure; doubles with each consecutive one.
   Duration first_avoidance = std::chrono::milliseconds(250);
@@ -26,6 +46,9 @@
   double failure_penalty = 3.0;
   /// Load below which a session stays at the endpoint that has its prefix cached.
   double max_sticky_load = 0.9;
+  /// Costs, in expected delay of a program, that the choice of an engine for a prompt compares.
+  PromptCosts prompt = {};
+  HomeSetOptions home_sets = {};
 };
 
 struct EndpointQuery {
@@ -33,6 +56,10 @@
   /// Endpoint of the session's previous call; may be empty.
   EndpointId preferred = {};
   std::vector<EndpointId> excluded = {};
+  /// Tokens of the prompt, 0 for a call without a prompt.
+  TokenCount prompt = {};
+  /// The part of the prompt that other programs share.
+  std::optional<SharedPrefix> shared_prefix = {};
 };
 
 /// @brief Result of an attempt, as far as it indicates the health of the endpoint.
@@ -54,6 +81,8 @@
       : zone_(std::move(zone)), options_(options) {}
 
   void SetEndpoints(std::vector<RegisteredEndpoint> endpoints);
+  /// @brief Sets the KV memory of each engine of a service.
+  void SetEngineMemory(const ServiceId& service, TokenCount memory);
   /// @brief Replaces the counts of calls that another daemon has in flight.
   void SetRemoteCounts(const DaemonId& daemon, const InFlightCounts& counts);
   void ForgetDaemon(const DaemonId& daemon);
@@ -62,7 +91,15 @@
   /// @brief Null if no endpoint can take the call.
   const RegisteredEndpoint* Choose(const EndpointQuery& query,
                                    MonotonicTime now,
-                                   std::mt19937_64& random) const;
+                                   std::mt19937_64& random);
+  /// @brief Counts a new call as demand for its shared prefix.
+  void OnDemand(const ServiceId& service, const SharedPrefix& prefix, MonotonicTime now);
+  /// @brief Records the measured times of a completed stream. `interval` is the time between two
+  /// events.
+  void OnStreamCompleted(const EndpointId& endpoint,
+                         Duration duration,
+                         Duration interval,
+                         MonotonicTime now);
   void OnStarted(const EndpointId& endpoint);
   void OnFinished(const EndpointId& endpoint, AttemptResult result, MonotonicTime now);
 
@@ -76,15 +113,38 @@
     std::uint32_t consecutive_failures = 0;
     double failure_rate = 0;
     MonotonicTime avoid_until;
+    /// Moving average of the time between two events of a stream; 0 before the first one.
+    double event_interval_us = 0;
+    MonotonicTime interval_updated;
+  };
+  struct ServiceEntry {
+    std::vector<EndpointId> endpoints = {};
+    HomeSets home_sets = {};
+    /// Moving averages; 0 before the first completed stream.
+    double call_duration_us = 0;
+    double event_interval_us = 0;
   };
 
   double Load(const Entry& entry) const;
   bool Usable(const Entry& entry, const EndpointQuery& query) const;
+  const RegisteredEndpoint* ChooseByLoad(const ServiceEntry& service,
+                                         const EndpointQuery& query,
+                                         MonotonicTime now,
+                                         std::mt19937_64& random) const;
+  const RegisteredEndpoint* ChooseForPrompt(ServiceEntry& service,
+                                            const EndpointQuery& query,
+                                            MonotonicTime now,
+                                            std::mt19937_64& random);
+  /// @brief Expected delay of a prompt on the endpoint, in microseconds, apart from reading it.
+  double ExpectedDelay(const ServiceEntry& service, const Entry& entry, MonotonicTime now) const;
+  void UpdateServices();
 
   AvailabilityZone zone_;
   EndpointTableOptions options_;
   std::unordered_map<EndpointId, Entry> endpoints_;
-  std::unordered_map<ServiceId, std::vector<EndpointId>> by_service_;
+  /// Services with a usable endpoint.
+  std::unordered_map<ServiceId, ServiceEntry> services_;
+  std::unordered_map<ServiceId, TokenCount> engine_memory_;
   std::unordered_map<DaemonId, InFlightCounts> remote_;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -190,6 +190,7 @@
       .tokens_per_event = known == services.end() ? TokenCount(1) : known->second.tokens_per_event,
       .remaining_us = TimeoutFor(request, route).count(),
       .program = *request.program,
+      .prompt = request.prompt,
       .method = std::move(request.method),
       .target = std::move(request.target),
       .headers = std::move(request.headers),
@@ -210,7 +211,8 @@
                 .target = std::move(request.target),
                 .headers = std::move(request.headers),
                 .body = std::move(request.body),
-                .deadline = context.loop.Now() + TimeoutFor(request, route)};
+                .deadline = context.loop.Now() + TimeoutFor(request, route),
+                .prompt = request.prompt};
   const auto response_started = std::make_shared<bool>(false);
   const auto self = std::make_shared<std::weak_ptr<EndpointCall>>();
   const auto call = std::make_shared<EndpointCall>(
@@ -332,6 +334,7 @@
   impl_->services.clear();
   for (const Service& service : configuration.services) {
     impl_->services[service.id] = service;
+    impl_->context.endpoints.SetEngineMemory(service.id, service.kv_capacity);
   }
   impl_->configuration = std::move(configuration);
 }
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -61,6 +61,7 @@
   TokenCount tokens_per_event = {};
   std::int64_t remaining_us = 0;
   ProgramContext program = {};
+  Prompt prompt = {};
   std::string method = {};
   std::string target = {};
   net::Headers headers = {};
@@ -68,7 +69,7 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(exchange, id, service, kind, priority, max_attempts, retained, retention_us,
-            tokens_per_event, remaining_us, program, method, target, headers, body);
+            tokens_per_event, remaining_us, program, prompt, method, target, headers, body);
   }
 };
 
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -92,7 +92,8 @@
                 .headers = request_.headers,
                 .body = chain_body_ + request_.body,
                 .deadline = deadline_ - kCallMargin,
-                .preferred = dependencies_.preferred_endpoint(request_.program)};
+                .preferred = dependencies_.preferred_endpoint(request_.program),
+                .prompt = request_.prompt};
   chain_body_.clear();
   call_ = std::make_shared<EndpointCall>(
       context_, std::move(plan),
