Report changed load to the daemons of the zone at once

Cause: daemons learned each other's calls in flight with the heartbeat, every 0.77 s at 140 daemons, while a turn takes 0.35 s.

Heartbeats within a zone follow the size of the zone, those to other zones the size of the fleet. A new connection gets a status itself instead of causing one to every peer, which grew with the square of the fleet at a start.

--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Range of the random part of a cost, in running calls.
-constexpr double kJitterCalls = 2.0;
+constexpr double kJitterCalls = 1.0;
 // Added to the delay of an avoided endpoint, which is chosen only if all others are avoided too.
 constexpr double kAvoidedDelay = 1e9;
 
@@ -267,6 +267,7 @@
 void EndpointTable::OnStarted(const EndpointId& endpoint) {
   if (const auto found = endpoints_.find(endpoint); found != endpoints_.end()) {
     ++found->second.own_in_flight;
+    ++own_changes_;
   }
 }
 
@@ -279,6 +280,7 @@
   }
   Entry& entry = found->second;
   entry.own_in_flight -= std::min<std::uint32_t>(1, entry.own_in_flight);
+  ++own_changes_;
   switch (result) {
     case AttemptResult::kCancelled:
     case AttemptResult::kRejected:
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -87,6 +87,8 @@
   void SetRemoteCounts(const DaemonId& daemon, const InFlightCounts& counts);
   void ForgetDaemon(const DaemonId& daemon);
   InFlightCounts OwnCounts() const;
+  /// @brief Increases with each change of OwnCounts().
+  std::uint64_t own_changes() const { return own_changes_; }
 
   /// @brief Null if no endpoint can take the call.
   const RegisteredEndpoint* Choose(const EndpointQuery& query,
@@ -145,6 +147,7 @@
   /// Services with a usable endpoint.
   std::unordered_map<ServiceId, ServiceEntry> services_;
   std::unordered_map<ServiceId, TokenCount> engine_memory_;
+  std::uint64_t own_changes_ = 0;
   std::unordered_map<DaemonId, InFlightCounts> remote_;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -47,8 +47,12 @@
   void JoinCluster(const std::string& cluster_key,
                    std::function<void(const Member&)> on_member_exited);
   void OnOwnershipChanged();
-  void Heartbeat();
+  PeerStatus MakeStatus();
+  /// @brief Tells all daemons of a change.
+  void SendStatus();
   void ScheduleHeartbeat();
+  /// @brief Reports the load whenever it has changed.
+  void ScheduleLoadReport();
   void Handle(CallerRequest request, net::HttpResponderPtr responder);
   void HandleTurn(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
   void HandleCall(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
@@ -74,6 +78,9 @@
   TurnRouter router;
   std::set<std::shared_ptr<EndpointCall>> calls;
   net::Timer heartbeat;
+  net::Timer load_report;
+  /// State of the endpoint table at the last load report.
+  std::uint64_t reported_changes = 0;
   net::Timer maintenance;
   net::Timer drain_timer;
   std::function<void()> on_released;
@@ -92,11 +99,15 @@
                 ownership.OnStatus(daemon, status);
                 router.RetryWaitingTurns();
               },
+          .on_load =
+              [this](const DaemonId& daemon, const PeerLoad& load) {
+                context.endpoints.SetRemoteCounts(daemon, load.in_flight);
+              },
           .on_message =
               [this](const DaemonId& daemon, PeerMessage message, const ReplyFunction& reply) {
                 router.OnMessage(daemon, std::move(message), reply);
               },
-          .on_connected = [this](const DaemonId&) { Heartbeat(); },
+          .on_connected = [this](const DaemonId& daemon) { links->Send(daemon, MakeStatus()); },
           .on_disconnected =
               [this](const DaemonId& daemon) {
                 context.events.Write("peer_lost", {{"peer", daemon.value()}});
@@ -109,30 +120,45 @@
               [this](const DaemonId& daemon) { router.OnRequesterDisconnected(daemon); }});
   links->SetMembers(members);
   ScheduleHeartbeat();
+  ScheduleLoadReport();
   maintenance = context.loop.Every(kMaintenancePeriod, [this] { ownership.Maintain(); });
 }
 
 void Gateway::Impl::ScheduleHeartbeat() {
   heartbeat = context.loop.After(links->HeartbeatPeriod(), [this] {
-    Heartbeat();
+    links->Heartbeat(MakeStatus());
     ScheduleHeartbeat();
   });
 }
 
+void Gateway::Impl::ScheduleLoadReport() {
+  load_report = context.loop.After(links->LoadPeriod(), [this] {
+    const std::uint64_t changes = context.endpoints.own_changes();
+    if (std::exchange(reported_changes, changes) != changes) {
+      links->SendLoad({.in_flight = context.endpoints.OwnCounts()});
+    }
+    ScheduleLoadReport();
+  });
+}
+
 void Gateway::Impl::OnOwnershipChanged() {
   // Posted, because this is called from within a partition, which must not be re-entered.
   context.loop.Post([this] {
     router.RetryWaitingTurns();
-    Heartbeat();
+    SendStatus();
   });
 }
 
-void Gateway::Impl::Heartbeat() {
+PeerStatus Gateway::Impl::MakeStatus() {
+  return {.ready = configuration.has_value() && endpoints_known && !draining,
+          .in_flight = context.endpoints.OwnCounts(),
+          .owned = ownership.OwnedPartitions(),
+          .has_writable_partition = !ownership.WritablePartitions().empty()};
+}
+
+void Gateway::Impl::SendStatus() {
   if (links != nullptr) {
-    links->Heartbeat({.ready = configuration.has_value() && endpoints_known && !draining,
-                      .in_flight = context.endpoints.OwnCounts(),
-                      .owned = ownership.OwnedPartitions(),
-                      .has_writable_partition = !ownership.WritablePartitions().empty()});
+    links->SendStatus(MakeStatus());
   }
 }
 
@@ -397,7 +423,7 @@
   impl_->draining = true;
   impl_->on_released = std::move(on_released);
   impl_->ownership.StopServing();
-  impl_->Heartbeat();
+  impl_->SendStatus();
   impl_->HandOverPartitions();
 }
 
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -9,11 +9,6 @@
 
 namespace {
 
-// In a small cluster, changes of load and of partition owners are known to all daemons within this
-// time.
-constexpr Duration kMinHeartbeatPeriod = std::chrono::milliseconds(200);
-// At 180 heartbeats per second, a daemon with a third of a core spends about 3 % of it on them.
-constexpr Duration kHeartbeatPerPeer = std::chrono::microseconds(5500);
 // After this many missed heartbeats, a daemon is considered stopped, paused or disconnected.
 constexpr int kMissedHeartbeats = 5;
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
@@ -91,6 +86,10 @@
     handlers_.on_status(id, *status);
     return;
   }
+  if (const auto* load = std::get_if<PeerLoad>(&*message)) {
+    handlers_.on_load(id, *load);
+    return;
+  }
   handlers_.on_message(id, std::move(*message),
                        [weak = std::weak_ptr<Incoming>(incoming)](const PeerMessage& reply) {
                          if (const auto live = weak.lock()) {
@@ -106,6 +105,10 @@
       target_members[member.id] = member;
     }
   }
+  const auto in_zone = std::count_if(
+      target_members.begin(), target_members.end(),
+      [&](const auto& entry) { return entry.second.zone == context_.options.self.zone; });
+  periods_ = PlanHeartbeats(static_cast<std::size_t>(in_zone), target_members.size());
   std::vector<DaemonId> removed;
   for (const auto& [id, link] : outgoing_) {
     const auto found = target_members.find(id);
@@ -193,22 +196,50 @@
 }
 
 void PeerLinks::Heartbeat(const PeerStatus& status) {
+  CloseSilent();
+  const std::string payload = EncodePeerMessage(status);
+  const MonotonicTime now = context_.loop.Now();
+  for (auto& [id, link] : outgoing_) {
+    // Half a period of tolerance, because the timer fires a little earlier or later.
+    const Duration due = PeriodFor(link.member) - periods_.same_zone / 2;
+    if (IsOpen(id) && now - link.last_status_sent_at >= due) {
+      link.connection->Send(payload);
+      link.last_status_sent_at = now;
+    }
+  }
+}
+
+void PeerLinks::SendStatus(const PeerStatus& status) {
   const std::string payload = EncodePeerMessage(status);
+  const MonotonicTime now = context_.loop.Now();
+  for (auto& [id, link] : outgoing_) {
+    if (IsOpen(id)) {
+      link.connection->Send(payload);
+      link.last_status_sent_at = now;
+    }
+  }
+}
+
+void PeerLinks::SendLoad(const PeerLoad& load) {
+  const std::string payload = EncodePeerMessage(load);
+  for (auto& [id, link] : outgoing_) {
+    if (link.member.zone == context_.options.self.zone && IsOpen(id)) {
+      link.connection->Send(payload);
+    }
+  }
+}
+
+void PeerLinks::CloseSilent() {
   const MonotonicTime now = context_.loop.Now();
   std::vector<DaemonId> silent;
   for (const auto& [id, link] : outgoing_) {
-    if (!IsOpen(id)) {
-      continue;
-    }
     const auto last_status = last_statuses_.find(id);
     const MonotonicTime last = std::max(link.opened_at, last_status == last_statuses_.end()
                                                             ? MonotonicTime()
                                                             : last_status->second.received_at);
-    if (now - last > HeartbeatPeriod() * kMissedHeartbeats) {
+    if (IsOpen(id) && now - last > PeriodFor(link.member) * kMissedHeartbeats) {
       silent.push_back(id);
-      continue;
     }
-    link.connection->Send(payload);
   }
   for (const DaemonId& id : silent) {
     context_.events.Write("peer_silent", {{"peer", id.value()}});
@@ -216,9 +247,8 @@
   }
 }
 
-Duration PeerLinks::HeartbeatPeriod() const {
-  return std::max(kMinHeartbeatPeriod,
-                  kHeartbeatPerPeer * static_cast<std::int64_t>(outgoing_.size()));
+Duration PeerLinks::PeriodFor(const Member& member) const {
+  return member.zone == context_.options.self.zone ? periods_.same_zone : periods_.other_zone;
 }
 
 std::vector<Member> PeerLinks::ReadyMembers() const {
@@ -226,7 +256,7 @@
   const MonotonicTime now = context_.loop.Now();
   for (const auto& [id, last_status] : last_statuses_) {
     if (last_status.ready &&
-        now - last_status.received_at <= HeartbeatPeriod() * kMissedHeartbeats) {
+        now - last_status.received_at <= PeriodFor(last_status.member) * kMissedHeartbeats) {
       ready.push_back(last_status.member);
     }
   }
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "src/gateway/context.h"
+#include "src/gateway/heartbeat_plan.h"
 #include "src/gateway/peer_messages.h"
 
 namespace acaciaspring::gateway {
@@ -20,6 +21,7 @@
 
 struct PeerHandlers {
   std::function<void(const DaemonId&, const PeerStatus&)> on_status = {};
+  std::function<void(const DaemonId&, const PeerLoad&)> on_load = {};
   /// Called for all other messages.
   std::function<void(const DaemonId&, PeerMessage, const ReplyFunction&)> on_message = {};
   /// The connection to the daemon opened.
@@ -45,12 +47,17 @@
   /// @brief Returns false if there is no open connection.
   bool Send(const DaemonId& daemon, const PeerMessage& message);
   bool IsOpen(const DaemonId& daemon) const;
-  /// @brief Sends a status to all daemons and closes the connections to those that have been
-  /// silent.
+  /// @brief Sends a status to the daemons whose heartbeat is due and closes the connections to
+  /// those that have been silent.
   void Heartbeat(const PeerStatus& status);
-  /// @brief Time between heartbeats. Grows with the number of daemons to bound the control traffic
-  /// of one daemon.
-  Duration HeartbeatPeriod() const;
+  /// @brief Sends a status to all daemons at once, after a change that they must learn of.
+  void SendStatus(const PeerStatus& status);
+  /// @brief Sends the calls in flight to the daemons of the same zone.
+  void SendLoad(const PeerLoad& load);
+  /// @brief Minimum time between two calls of SendLoad().
+  Duration LoadPeriod() const { return periods_.load; }
+  /// @brief Time until a heartbeat is due to some daemon.
+  Duration HeartbeatPeriod() const { return periods_.same_zone; }
   /// @brief Daemons whose last status is recent and reports them as ready.
   std::vector<Member> ReadyMembers() const;
   /// @brief Daemons that have a writable partition, as of their last status.
@@ -64,6 +71,7 @@
     net::PeerConnectionPtr connection;
     net::Timer retry_timer;
     MonotonicTime opened_at;
+    MonotonicTime last_status_sent_at;
     /// Connection attempts since the connection was last open.
     std::uint32_t attempts = 0;
   };
@@ -78,6 +86,8 @@
     MonotonicTime received_at;
   };
 
+  Duration PeriodFor(const Member& member) const;
+  void CloseSilent();
   net::PeerCallbacks Accept(net::PeerConnectionPtr connection);
   void Connect(const DaemonId& daemon);
   void OnOutgoingClosed(const DaemonId& daemon);
@@ -86,6 +96,7 @@
   std::optional<PeerMessage> Decode(std::string_view payload);
 
   Context& context_;
+  HeartbeatPeriods periods_;
   std::string cluster_key_;
   PeerHandlers handlers_;
   net::DropCounters drops_;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -47,6 +47,16 @@
   }
 };
 
+/// @brief Sent to the daemons of the zone when the calls in flight have changed since the last
+/// status.
+struct PeerLoad {
+  InFlightCounts in_flight = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(in_flight);
+  }
+};
+
 /// @brief Asks the owner of a program to run a turn. The sender has already chosen route and
 /// service, so the daemons may have different configuration versions.
 struct TurnRequest {
@@ -193,7 +203,8 @@
                                  ChainQuery,
                                  ChainReply,
                                  CommitRequest,
-                                 CommitReply>;
+                                 CommitReply,
+                                 PeerLoad>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError if the message is malformed.
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -242,7 +242,7 @@
                            PeerMessage message,
                            const ReplyFunction& reply) {
   std::visit(
-      Overloaded{[](PeerHello&) {}, [](PeerStatus&) {},
+      Overloaded{[](PeerHello&) {}, [](PeerStatus&) {}, [](PeerLoad&) {},
                  [&](TurnRequest& request) { OnTurnRequest(daemon, std::move(request), reply); },
                  [&](TurnHead& head) {
                    if (SubmittedTurn* turn = FindRemote(head.exchange, daemon)) {
