End requests whose endpoint repeats itself or sends bytes without end

Field reports, found by reading and shown with tests: - A second copy of an answer without the echoed id was delivered to the next request on the connection. After a response with an id, a successful one without an id now interrupts the request, and a connection on which a copy was seen is not used again. - The body of a rejection was discarded without limit until the deadline, and the request then ended as a timeout although the endpoint had said that nothing ran. It now ends as not run at once. - Error and plain bodies without end were forwarded until the deadline with unbounded memory for a slow caller. Responses are limited to 8 MB, unread data of a caller to 4 MB; a stream that forms no events ends the turn. - A response of the store that sent a byte now and then never ended. HttpClientRequest has a limit for the whole exchange. - An exception in a callback ended the process: Loop::OnError receives it, and the HTTP client interrupts the request.

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -182,6 +182,8 @@
   std::uint32_t partition_count = 1;
   HeaderNames headers = {};
   ledger::PartitionOptions partition = {};
+  /// Longer responses of endpoints are broken off.
+  std::size_t max_response_bytes = std::size_t{8} << 20;
   /// How long callers may use the addresses that the entry point directory returned.
   Duration directory_ttl = std::chrono::seconds(1);
 };
--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -97,6 +97,11 @@
   void Post(std::function<void()> callback);
   /// @brief Calls `callback` on every delivery of the signal.
   void OnSignal(int signal_number, std::function<void()> callback);
+  /// @brief Passes exceptions of callbacks to `handler`, so that a fault in one request does not
+  /// end the process. Without a handler they leave Run().
+  void OnError(std::function<void(const std::exception&)> handler);
+  /// @brief Calls `callback`. Returns false if it threw an exception that the handler received.
+  bool RunGuarded(const std::function<void()>& callback);
   uv_loop_s* raw();
 
  private:
@@ -192,6 +197,8 @@
   std::string body = {};
   /// Limits the time for connecting and the time without a byte from the server.
   Duration io_timeout = std::chrono::seconds(30);
+  /// Limits the time from the start to the end of the response, also while bytes arrive.
+  Duration total_timeout = std::chrono::hours(24);
   /// Limits the time for connecting if it is shorter than `io_timeout`.
   Duration connect_timeout = std::chrono::seconds(30);
   /// Name, in lower case, of a header in which the server echoes `echo_value`. A response with
--- a/src/gateway/caller_sink.cc
+++ b/src/gateway/caller_sink.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Limits the memory for a caller that reads more slowly than its endpoint sends.
+constexpr std::size_t kMaxPendingBytes = std::size_t{4} << 20;
+
 std::string FormatSeconds(Duration duration) {
   std::array<char, 32> text{};
   std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(duration).count());
@@ -29,7 +32,17 @@
 }
 
 void CallerSink::Data(std::string_view data) {
+  if (ended_) {
+    return;
+  }
   responder_->Write(data);
+  if (responder_->pending_bytes() > kMaxPendingBytes) {
+    Abort("caller_too_slow");
+    if (on_gone_) {
+      // Posted, because this is called by the request that the callback cancels.
+      context_.loop.Post(on_gone_);
+    }
+  }
 }
 
 void CallerSink::End() {
@@ -56,10 +69,11 @@
 }
 
 void CallerSink::OnCallerGone(std::function<void()> callback) {
-  responder_->OnClosed([this, callback = std::move(callback)] {
+  on_gone_ = std::move(callback);
+  responder_->OnClosed([this] {
     if (!ended_) {
       Log("caller_gone");
-      callback();
+      on_gone_();
     }
   });
 }
--- a/src/gateway/caller_sink.h
+++ b/src/gateway/caller_sink.h
@@ -39,6 +39,7 @@
   ConfigurationVersion version_;
   int status_ = 0;
   bool ended_ = false;
+  std::function<void()> on_gone_;
 };
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -17,6 +17,10 @@
 constexpr std::size_t kMaxBufferedBytes = std::size_t{256} << 10;
 // Minimum time for an attempt of an idempotent request before another endpoint is tried.
 constexpr Duration kMinAttemptTime = std::chrono::milliseconds(250);
+// The body of a rejection is read so that the connection can be used again, but a faulty endpoint
+// may send it without end.
+constexpr std::size_t kMaxRejectionBytes = std::size_t{16} << 10;
+constexpr Duration kMaxRejectionTime = std::chrono::milliseconds(100);
 // Streams with fewer events say little about the speed of their engine.
 constexpr std::uint32_t kMinMeasuredEvents = 3;
 
@@ -68,6 +72,8 @@
   tried_endpoints_.push_back(endpoint->id);
   ++attempts_;
   rejected_ = false;
+  rejected_bytes_ = 0;
+  received_bytes_ = 0;
   status_ = 0;
   buffered_body_.clear();
   in_flight_ = true;
@@ -119,15 +125,30 @@
   response_headers_ = headers;
   rejected_ =
       !net::FindHeader(headers, context_.options.headers.not_executed).empty() || status == 421;
+  if (rejected_) {
+    attempt_timer_ = context_.loop.After(kMaxRejectionTime, [this] { AbandonRejection(); });
+    return;
+  }
   // Only successful streams are forwarded at once; errors are buffered, because an idempotent
   // request may be repeated at another endpoint.
-  if (!rejected_ && IsStream() && status < 300) {
+  if (IsStream() && status < 300) {
     StartDelivery();
   }
 }
 
 void EndpointCall::OnData(std::string_view data) {
   if (rejected_) {
+    rejected_bytes_ += data.size();
+    if (rejected_bytes_ > kMaxRejectionBytes) {
+      // Not from within the callback of the attempt that this ends.
+      attempt_timer_ = context_.loop.After(Duration(0), [this] { AbandonRejection(); });
+    }
+    return;
+  }
+  received_bytes_ += data.size();
+  if (received_bytes_ > context_.options.max_response_bytes) {
+    attempt_timer_ = context_.loop.After(Duration(0), [this] { OnResponseTooLarge(); });
+    http_call_->Cancel();
     return;
   }
   if (delivering_) {
@@ -212,7 +233,34 @@
   RetryOrFinish(NotRun{.reason = NotRunReason::kOverloaded});
 }
 
+void EndpointCall::AbandonRejection() {
+  const auto self = shared_from_this();
+  if (!in_flight_ || done_) {
+    return;
+  }
+  http_call_->Cancel();
+  OnRejected();
+}
+
+void EndpointCall::OnResponseTooLarge() {
+  const auto self = shared_from_this();
+  if (!in_flight_ || done_) {
+    return;
+  }
+  context_.events.Write("response_too_large",
+                        {{"id", plan_.id.value()},
+                         {"endpoint", endpoint_.value()},
+                         {"bytes", static_cast<std::int64_t>(received_bytes_)}});
+  ++possible_runs_;
+  EndAttempt(AttemptResult::kFailed);
+  Finish(Unknown{.reason = UnknownReason::kConnectionLost});
+}
+
 void EndpointCall::OnInterrupted(bool timed_out) {
+  if (rejected_) {
+    OnRejected();
+    return;
+  }
   ++possible_runs_;
   EndAttempt(AttemptResult::kFailed);
   const Unknown unknown{timed_out ? UnknownReason::kTimeout : UnknownReason::kConnectionLost};
@@ -239,8 +287,10 @@
   }
   if (in_flight_) {
     http_call_->Cancel();
-    ++possible_runs_;
-    EndAttempt(AttemptResult::kFailed);
+    if (!rejected_) {
+      ++possible_runs_;
+    }
+    EndAttempt(rejected_ ? AttemptResult::kRejected : AttemptResult::kFailed);
   }
   if (possible_runs_ == 0) {
     Finish(NotRun{.reason = NotRunReason::kDeadlineExceeded});
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -54,8 +54,12 @@
   void OnData(std::string_view data);
   void OnDone(const net::HttpResult& result);
   void OnResponseComplete();
+  /// @brief Ends an attempt whose response says that nothing was executed.
   void OnRejected();
+  /// @brief Ends the attempt without waiting for the end of the rejection's body.
+  void AbandonRejection();
   void OnInterrupted(bool timed_out);
+  void OnResponseTooLarge();
   void OnDeadline();
   void OnAttemptTimeout();
   /// @brief Starts another attempt if one is allowed, otherwise ends the call with `outcome`.
@@ -90,6 +94,8 @@
   net::Headers response_headers_;
   /// The endpoint reported that it did not execute the request.
   bool rejected_ = false;
+  std::size_t rejected_bytes_ = 0;
+  std::size_t received_bytes_ = 0;
   /// Body of a response that is buffered until it is complete.
   std::string buffered_body_;
   bool delivering_ = false;
--- /dev/null
+++ b/src/gateway/endpoint_call_test.cc
@@ -0,0 +1,130 @@
+#include "src/gateway/endpoint_call.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "src/net/http_test_support.h"
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+constexpr std::size_t kMaxResponseBytes = std::size_t{1} << 20;
+// Far beyond the time of a test: a call that ends has not been ended by its deadline.
+constexpr Duration kDeadline = std::chrono::hours(1);
+const ServiceId kService("service");
+
+struct Fixture {
+  Fixture()
+      : context(loop,
+                {.self = {.id = DaemonId("self")},
+                 .headers = {.request_id = "x-id",
+                             .deadline_ms = "x-deadline",
+                             .expected_endpoint = "x-endpoint",
+                             .priority = "x-priority",
+                             .not_executed = "x-not-executed"},
+                 .max_response_bytes = kMaxResponseBytes}) {
+    context.endpoints.SetEndpoints(
+        {{.id = EndpointId("e"), .service = kService, .address = server.address(), .slots = 1}});
+  }
+
+  void Start(RequestKind kind) {
+    call = std::make_shared<EndpointCall>(
+        context,
+        CallPlan{.id = RequestId("a"),
+                 .service = kService,
+                 .kind = kind,
+                 .method = "GET",
+                 .target = "/",
+                 .deadline = loop.Now() + kDeadline},
+        CallCallbacks{.on_head = [this](int, const net::Headers&) { head = true; },
+                      .on_data = [this](std::string_view data) { bytes += data.size(); },
+                      .on_done = [this](const Outcome& done) { outcome = done; }});
+    call->Start();
+    net::RunUntil(loop, [this] {
+      return !server.connections().empty() && !server.connections()[0]->received().empty();
+    });
+  }
+
+  /// @brief Sends the start of a response and then bytes until the connection is closed.
+  void SendWithoutEnd(const std::string& start) {
+    net::RawConnection& connection = *server.connections()[0];
+    connection.Send(start);
+    sender = loop.Every(std::chrono::milliseconds(1), [this, &connection] {
+      if (!connection.ended()) {
+        connection.Send(std::string(16384, 'x'));
+      }
+    });
+    net::RunUntil(loop, [&] { return outcome.has_value() && connection.ended(); });
+    sender.Cancel();
+  }
+
+  net::Loop loop;
+  net::RawServer server{loop};
+  Context context;
+  net::Timer sender;
+  std::shared_ptr<EndpointCall> call;
+  std::optional<Outcome> outcome;
+  std::size_t bytes = 0;
+  bool head = false;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(endpoint_call, Fixture)
+
+// Guards against a rejected request that is reported as a timeout at its deadline, because the body
+// of the rejection does not end.
+BOOST_AUTO_TEST_CASE(rejection_without_end_is_not_run_at_once) {
+  Start(RequestKind::kAtMostOnce);
+  SendWithoutEnd("HTTP/1.1 503 Full\r\nx-not-executed: 1\r\nContent-Length: 999999999\r\n\r\n");
+  BOOST_TEST(std::holds_alternative<NotRun>(*outcome));
+  BOOST_TEST(!head);
+}
+
+// Guards against the same when the endpoint falls silent within the rejection.
+BOOST_AUTO_TEST_CASE(rejection_that_stalls_is_not_run) {
+  Start(RequestKind::kAtMostOnce);
+  server.connections()[0]->Send(
+      "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\nContent-Length: 10\r\n\r\n");
+  net::RunUntil(loop, [this] { return outcome.has_value(); });
+  BOOST_TEST(std::holds_alternative<NotRun>(*outcome));
+}
+
+// Guards against a rejection that is cut off and then counts as a possible execution.
+BOOST_AUTO_TEST_CASE(rejection_that_is_cut_off_is_not_run) {
+  Start(RequestKind::kAtMostOnce);
+  server.connections()[0]->Send(
+      "HTTP/1.1 503 Full\r\nx-not-executed: 1\r\nContent-Length: 10\r\n\r\nhalf");
+  net::RunUntil(loop, [this] { return !context.endpoints.OwnCounts().empty(); });
+  server.connections()[0]->Close(/*reset=*/false);
+  net::RunUntil(loop, [this] { return outcome.has_value(); });
+  BOOST_TEST(std::holds_alternative<NotRun>(*outcome));
+}
+
+// Guards against unbounded memory and against calls that last until their deadline, when an
+// endpoint sends bytes without end in a head or a body.
+BOOST_AUTO_TEST_CASE(responses_without_end_are_broken_off) {
+  const std::vector<std::string> starts = {
+      "HTTP/1.1 200 OK\r\nX: ",
+      "nonsense",
+      "HTTP/1.1 200 OK\r\nx-id: a\r\nContent-Length: 999999999\r\n\r\n",
+      "HTTP/1.1 500 Error\r\nx-id: a\r\nContent-Length: 999999999\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nx-id: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+  };
+  for (const std::string& start : starts) {
+    for (const RequestKind kind : {RequestKind::kAtMostOnce, RequestKind::kStream}) {
+      server.connections().clear();
+      outcome.reset();
+      bytes = 0;
+      Start(kind);
+      SendWithoutEnd(start);
+      BOOST_TEST(std::holds_alternative<Unknown>(*outcome), start);
+      BOOST_TEST(bytes <= kMaxResponseBytes, start);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::gateway
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -131,6 +131,11 @@
       output_ += '\n';
     }
   }
+  if (parser_.overflowed()) {
+    // The tokens of a stream that forms no events cannot be counted.
+    overflow_timer_ = context_.loop.After(Duration(0), [this] { OnStreamOverflow(); });
+    return;
+  }
   if (reserved_) {
     ExtendClaim();
   }
@@ -194,6 +199,14 @@
   RecordTurn();
 }
 
+void TurnRun::OnStreamOverflow() {
+  const auto self = shared_from_this();
+  if (!ended_) {
+    call_->Cancel();
+    FailWith({.status = 502, .reason = "invalid_stream"});
+  }
+}
+
 void TurnRun::OnDeadline() {
   const auto self = shared_from_this();
   if (ended_) {
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -85,6 +85,7 @@
   void RecordInAnyPartition();
   void RecordAtNextOwner();
   void OnDeadline();
+  void OnStreamOverflow();
   /// @brief Tokens of the events received so far; a partially received event counts as a whole one.
   TokenCount UsedTokens() const;
   void Settle();
@@ -104,6 +105,7 @@
   MonotonicTime recording_since_;
   MonotonicTime deadline_;
   net::Timer deadline_timer_;
+  net::Timer overflow_timer_;
   std::shared_ptr<EndpointCall> call_;
   std::string chain_body_;
   /// Turns found in another partition, to be recorded with this one.
--- a/src/main/acaciaspring_gatewayd.cc
+++ b/src/main/acaciaspring_gatewayd.cc
@@ -18,6 +18,9 @@
 
 int Run(const std::string& path) {
   acaciaspring::net::Loop loop;
+  loop.OnError([](const std::exception& error) {
+    LOG(ERROR) << "a callback failed, its request was ended: " << error.what();
+  });
   platform::Node node(loop, platform::LoadSettings(path));
   const auto shut_down = [&] { node.Shutdown([&] { loop.Stop(); }); };
   loop.OnSignal(SIGTERM, shut_down);
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -18,6 +18,10 @@
   return *static_cast<HttpConnection*>(parser->data);
 }
 
+// Responses to earlier requests that are longer than this close the connection.
+constexpr std::size_t kMaxStaleBytes = std::size_t{1} << 20;
+constexpr int kFirstErrorStatus = 400;
+
 bool IsInformational(const http_parser& parser) {
   return parser.status_code >= 100 && parser.status_code < 200;
 }
@@ -70,6 +74,8 @@
 void HttpConnection::Send(OutgoingRequest outgoing) {
   request_ = std::move(outgoing);
   in_exchange_ = true;
+  had_stale_ = false;
+  stale_bytes_ = 0;
   StartParser();
   const std::array<uv_buf_t, 2> buffers = {
       uv_buf_init(request_.head.data(), static_cast<unsigned>(request_.head.size())),
@@ -140,7 +146,8 @@
     }
     data.remove_prefix(parsed);
     if (!stale_) {
-      FinishResponse(keep_alive_ && data.empty() && !writing_);
+      // A server that has sent one response twice may do so again.
+      FinishResponse(keep_alive_ && data.empty() && !writing_ && !had_stale_);
       return;
     }
     if (!keep_alive_) {
@@ -209,8 +216,13 @@
   }
   stale_ = IsStaleResponse();
   if (stale_) {
+    had_stale_ = true;
     return 0;
   }
+  if (LacksExpectedEcho()) {
+    return kStop;
+  }
+  echo_seen_ = echo_seen_ || !FindHeader(headers_, request_.echo_header).empty();
   ParseKeepAliveTimeout();
   if (delegate_ != nullptr) {
     delegate_->OnHead(static_cast<int>(parser_.status_code), headers_);
@@ -229,6 +241,14 @@
   return !echo.empty() && echo != request_.echo_value;
 }
 
+bool HttpConnection::LacksExpectedEcho() const {
+  // After a response with an id, a successful one without an id may be a late copy. Servers reject
+  // requests without an id in the response, which delivers no data.
+  return echo_seen_ && !request_.echo_header.empty() &&
+         static_cast<int>(parser_.status_code) < kFirstErrorStatus &&
+         FindHeader(headers_, request_.echo_header).empty();
+}
+
 void HttpConnection::ParseKeepAliveTimeout() {
   constexpr std::string_view kParameter = "timeout=";
   const std::string_view value = FindHeader(headers_, "keep-alive");
@@ -244,7 +264,11 @@
 }
 
 int HttpConnection::OnBody(std::string_view data) {
-  if (delegate_ != nullptr && !stale_) {
+  if (stale_) {
+    stale_bytes_ += data.size();
+    return stale_bytes_ > kMaxStaleBytes ? 1 : 0;
+  }
+  if (delegate_ != nullptr) {
     delegate_->OnData(data);
   }
   return closed_ ? 1 : 0;
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -68,6 +68,7 @@
   bool CompleteOnEof();
   void StartParser();
   bool IsStaleResponse() const;
+  bool LacksExpectedEcho() const;
   void ParseKeepAliveTimeout();
   void FinishResponse(bool reusable);
   void StoreHeader();
@@ -90,6 +91,12 @@
   std::optional<Duration> keep_alive_timeout_;
   /// The response being read belongs to an earlier request.
   bool stale_ = false;
+  /// Bytes of responses to earlier requests, received during the current exchange.
+  std::size_t stale_bytes_ = 0;
+  /// A stale response was received during the current exchange.
+  bool had_stale_ = false;
+  /// The server has echoed the id of a request on this connection.
+  bool echo_seen_ = false;
   bool writing_ = false;
   bool in_exchange_ = false;
   bool keep_alive_ = false;
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -62,7 +62,8 @@
     return;
   }
   pool_ = pool;
-  last_activity_ = loop_.Now();
+  started_at_ = loop_.Now();
+  last_activity_ = started_at_;
   ArmTimer(std::min(request_.io_timeout, request_.connect_timeout));
   connection_ = pool->Acquire(request_.server);
   if (connection_ != nullptr) {
@@ -95,24 +96,28 @@
   const auto self = shared_from_this();
   status_ = status;
   if (callbacks_.on_head) {
-    in_callback_ = true;
-    callbacks_.on_head(status, headers);
-    in_callback_ = false;
-    if (ended_) {
-      ReleaseCallbacks();
-    }
+    RunCallback([&] { callbacks_.on_head(status, headers); });
+  }
+}
+
+void HttpExchange::RunCallback(const std::function<void()>& callback) {
+  in_callback_ = true;
+  const bool succeeded = loop_.RunGuarded(callback);
+  if (!succeeded && !ended_ && !has_result_) {
+    connection_->Close();
+    connection_.reset();
+    Finish(HttpInterrupted{});
+  }
+  in_callback_ = false;
+  if (ended_) {
+    ReleaseCallbacks();
   }
 }
 
 void HttpExchange::OnData(std::string_view data) {
   const auto self = shared_from_this();
-  if (callbacks_.on_data) {
-    in_callback_ = true;
-    callbacks_.on_data(data);
-    in_callback_ = false;
-    if (ended_) {
-      ReleaseCallbacks();
-    }
+  if (callbacks_.on_data && !has_result_) {
+    RunCallback([&] { callbacks_.on_data(data); });
   }
 }
 
@@ -138,7 +143,12 @@
 }
 
 void HttpExchange::ArmTimer(Duration delay) {
-  timer_ = loop_.After(delay, [this] { OnTimer(); });
+  timer_ =
+      loop_.After(std::min(delay, std::max(RemainingTotal(), Duration(0))), [this] { OnTimer(); });
+}
+
+Duration HttpExchange::RemainingTotal() const {
+  return request_.total_timeout - std::chrono::duration_cast<Duration>(loop_.Now() - started_at_);
 }
 
 void HttpExchange::OnTimer() {
@@ -146,7 +156,7 @@
   const Duration idle_time = loop_.Now() - last_activity_;
   const Duration limit =
       sent_ ? request_.io_timeout : std::min(request_.io_timeout, request_.connect_timeout);
-  if (idle_time < limit) {
+  if (idle_time < limit && RemainingTotal() > Duration(0)) {
     ArmTimer(limit - idle_time);
     return;
   }
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -36,6 +36,9 @@
  private:
   void ArmTimer(Duration delay);
   void OnTimer();
+  Duration RemainingTotal() const;
+  /// @brief Runs a callback for the response; an exception interrupts the exchange.
+  void RunCallback(const std::function<void()>& callback);
   void Finish(const HttpResult& result);
   void NotifyDone();
   void ReleaseCallbacks();
@@ -47,6 +50,7 @@
   std::weak_ptr<HttpPool> pool_;
   std::shared_ptr<HttpConnection> connection_;
   Timer timer_;
+  MonotonicTime started_at_;
   MonotonicTime last_activity_;
   int status_ = 0;
   HttpResult result_;
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -16,6 +16,7 @@
 
 struct TimerState {
   uv_timer_t handle{};
+  Loop* loop = nullptr;
   std::function<void()> callback;
   bool repeats = false;
   /// Keeps the state alive until libuv has closed the handle.
@@ -36,11 +37,12 @@
   if (!state->repeats) {
     state->Close();
   }
-  state->callback();
+  state->loop->RunGuarded(state->callback);
 }
 
 struct SignalWatcher {
   uv_signal_t handle{};
+  Loop* loop = nullptr;
   std::function<void()> callback;
 };
 
@@ -49,8 +51,10 @@
   return rounded_up > 0 ? static_cast<std::uint64_t>(rounded_up) : 0;
 }
 
-Timer StartTimer(uv_loop_t* loop, Duration delay, bool repeats, std::function<void()> callback) {
+Timer StartTimer(Loop& owner, Duration delay, bool repeats, std::function<void()> callback) {
+  uv_loop_t* loop = owner.raw();
   auto state = std::make_shared<TimerState>();
+  state->loop = &owner;
   state->callback = std::move(callback);
   state->repeats = repeats;
   state->self = state;
@@ -90,6 +94,21 @@
   uv_idle_t idle{};
   std::deque<std::function<void()>> posted;
   std::vector<std::unique_ptr<SignalWatcher>> signals;
+  std::function<void(const std::exception&)> on_error;
+
+  bool RunGuarded(const std::function<void()>& callback) const {
+    if (!on_error) {
+      callback();
+      return true;
+    }
+    try {
+      callback();
+      return true;
+    } catch (const std::exception& error) {
+      on_error(error);
+      return false;
+    }
+  }
 
   void RunPosted() {
     // Callbacks posted from within a posted callback run in the next iteration.
@@ -97,7 +116,7 @@
     calls.swap(posted);
     uv_idle_stop(&idle);
     for (const auto& call : calls) {
-      call();
+      RunGuarded(call);
     }
   }
 };
@@ -154,11 +173,11 @@
 }
 
 Timer Loop::After(Duration delay, std::function<void()> callback) {
-  return StartTimer(&impl_->loop, delay, /*repeats=*/false, std::move(callback));
+  return StartTimer(*this, delay, /*repeats=*/false, std::move(callback));
 }
 
 Timer Loop::Every(Duration period, std::function<void()> callback) {
-  return StartTimer(&impl_->loop, period, /*repeats=*/true, std::move(callback));
+  return StartTimer(*this, period, /*repeats=*/true, std::move(callback));
 }
 
 void Loop::Post(std::function<void()> callback) {
@@ -168,6 +187,7 @@
 
 void Loop::OnSignal(int signal_number, std::function<void()> callback) {
   auto watcher = std::make_unique<SignalWatcher>();
+  watcher->loop = this;
   watcher->callback = std::move(callback);
   watcher->handle.data = watcher.get();
   ThrowIfSocketError(uv_signal_init(&impl_->loop, &watcher->handle),
@@ -177,11 +197,20 @@
   // Signal handles alone must not keep Run() from returning.
   uv_unref(reinterpret_cast<uv_handle_t*>(handle));
   const auto on_signal = [](uv_signal_t* raised, int) {
-    static_cast<SignalWatcher*>(raised->data)->callback();
+    const auto* raised_watcher = static_cast<SignalWatcher*>(raised->data);
+    raised_watcher->loop->RunGuarded(raised_watcher->callback);
   };
   ThrowIfSocketError(uv_signal_start(handle, on_signal, signal_number), "cannot handle signal");
 }
 
+void Loop::OnError(std::function<void(const std::exception&)> handler) {
+  impl_->on_error = std::move(handler);
+}
+
+bool Loop::RunGuarded(const std::function<void()>& callback) {
+  return impl_->RunGuarded(callback);
+}
+
 uv_loop_s* Loop::raw() {
   return &impl_->loop;
 }
--- a/src/net/peer_stream.cc
+++ b/src/net/peer_stream.cc
@@ -140,7 +140,7 @@
       break;
     }
     if (callbacks_.on_message) {
-      callbacks_.on_message(*payload);
+      loop_.RunGuarded([&] { callbacks_.on_message(*payload); });
     }
   }
   if (reader_.failed()) {
