Use home sets only where the prefixes exceed the engines' memory

Change: HomeSets::AllPrefixesFit() decides between the choice by load and the one by prefix. The event interval is a mean over the first streams and a slow moving average after, limited to 50 % and weighed with the streaming time. Reading a prompt is weighed with the calls that wait meanwhile.

--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -166,6 +166,9 @@
   void SetMemory(TokenCount memory) { memory_ = memory; }
   /// @brief Counts a request as demand for the prefix.
   void OnRequest(const SharedPrefix& prefix, MonotonicTime now);
+  /// @brief True if each endpoint can cache all prefixes with recent demand, so that no sets are
+  /// needed. Also if the memory is unknown.
+  bool AllPrefixesFit(MonotonicTime now);
   /// @brief Sets `is_member`, for each endpoint in the order of SetMembers(), to whether it is in
   /// the set of the prefix.
   void FindMembers(PrefixId prefix, MonotonicTime now, std::vector<bool>& is_member);
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -21,8 +21,6 @@
 // may send it without end.
 constexpr std::size_t kMaxRejectionBytes = std::size_t{16} << 10;
 constexpr Duration kMaxRejectionTime = std::chrono::milliseconds(100);
-// Streams with fewer events say little about the speed of their engine.
-constexpr std::uint32_t kMinMeasuredEvents = 3;
 
 }  // namespace
 
@@ -214,10 +212,12 @@
   const auto self = shared_from_this();
   if (events_ > 0 && !server_error) {
     const MonotonicTime now = context_.loop.Now();
-    const auto streaming = std::chrono::duration_cast<Duration>(last_event_at_ - first_event_at_);
     context_.endpoints.OnStreamCompleted(
-        endpoint_, std::chrono::duration_cast<Duration>(now - attempt_started_),
-        events_ < kMinMeasuredEvents ? Duration(0) : streaming / (events_ - 1), now);
+        endpoint_,
+        {.duration = std::chrono::duration_cast<Duration>(now - attempt_started_),
+         .streaming = std::chrono::duration_cast<Duration>(last_event_at_ - first_event_at_),
+         .events = events_},
+        now);
   }
   if (!delivering_) {
     StartDelivery();
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -9,6 +9,15 @@
 
 // Range of the random part of a cost, in running calls.
 constexpr double kJitterCalls = 1.0;
+// Weight of the delay of the running calls, relative to that of the call to place.
+constexpr double kWaitingShare = 0.5;
+// An engine with fewer measured streams counts as one of average speed.
+constexpr std::uint32_t kMinMeasuredStreams = 4;
+// Streams with fewer events say little about the speed of their engine.
+constexpr std::uint32_t kMinMeasuredEvents = 3;
+// Limit of the relative slowness. Beyond it, the difference comes from load, which is counted
+// separately.
+constexpr double kMaxSlowness = 0.5;
 // Added to the delay of an avoided endpoint, which is chosen only if all others are avoided too.
 constexpr double kAvoidedDelay = 1e9;
 
@@ -121,8 +130,10 @@
   if (service == services_.end()) {
     return nullptr;
   }
-  return query.prompt == TokenCount() ? ChooseByLoad(service->second, query, now, random)
-                                      : ChooseForPrompt(service->second, query, now, random);
+  const bool by_prefix =
+      query.shared_prefix.has_value() && !service->second.home_sets.AllPrefixesFit(now);
+  return by_prefix ? ChooseForPrompt(service->second, query, now, random)
+                   : ChooseByLoad(service->second, query, now, random);
 }
 
 const RegisteredEndpoint* EndpointTable::ChooseByLoad(const ServiceEntry& service,
@@ -168,11 +179,8 @@
                                                          std::mt19937_64& random) {
   const PromptCosts& costs = options_.prompt;
   std::vector<bool> is_home;
-  TokenCount shared_tokens;
-  if (query.shared_prefix) {
-    service.home_sets.FindMembers(query.shared_prefix->id, now, is_home);
-    shared_tokens = std::min(query.shared_prefix->tokens, query.prompt);
-  }
+  service.home_sets.FindMembers(query.shared_prefix->id, now, is_home);
+  const TokenCount shared_tokens = std::min(query.shared_prefix->tokens, query.prompt);
   // The counts of other daemons are older than many calls last, so daemons that compare the same
   // counts must not all choose the same engine.
   std::uniform_real_distribution<double> jitter(
@@ -187,11 +195,16 @@
     TokenCount uncached = query.prompt;
     if (entry.description.id == query.preferred) {
       uncached = TokenCount();
-    } else if (!is_home.empty() && is_home[i]) {
+    } else if (is_home[i]) {
       uncached -= shared_tokens;
     }
-    const double cost = ExpectedDelay(service, entry, now) + jitter(random) +
-                        costs.per_uncached_token.count() * static_cast<double>(uncached.value());
+    // All running calls wait while the engine reads the prompt.
+    const double waiting_calls =
+        1.0 + kWaitingShare *
+                  std::min(entry.own_in_flight + entry.remote_in_flight, entry.description.slots);
+    const double cost =
+        ExpectedDelay(service, entry, now) + jitter(random) +
+        waiting_calls * costs.per_uncached_token.count() * static_cast<double>(uncached.value());
     if (best == nullptr || cost < best_cost) {
       best = &entry.description;
       best_cost = cost;
@@ -214,11 +227,12 @@
   if (in_flight >= slots) {
     delay += (in_flight - slots + 1) * call_duration / slots;
   }
-  if (entry.event_interval_us > 0 && service.event_interval_us > 0) {
-    const double relative_slowness = entry.event_interval_us / service.event_interval_us - 1;
+  if (entry.streams_measured >= kMinMeasuredStreams && service.event_interval_us > 0) {
+    const double relative_slowness = std::clamp(
+        entry.event_interval_us / service.event_interval_us - 1, -kMaxSlowness, kMaxSlowness);
     const double age = static_cast<double>((now - entry.interval_updated).count());
     const double validity = std::exp(-age / static_cast<double>(costs.interval_validity.count()));
-    delay += relative_slowness * validity * call_duration;
+    delay += relative_slowness * validity * service.streaming_us;
   }
   if (entry.description.zone != zone_) {
     delay += static_cast<double>(costs.other_zone.count());
@@ -239,8 +253,7 @@
 }
 
 void EndpointTable::OnStreamCompleted(const EndpointId& endpoint,
-                                      Duration duration,
-                                      Duration interval,
+                                      const StreamTimes& times,
                                       MonotonicTime now) {
   const auto found = endpoints_.find(endpoint);
   if (found == endpoints_.end()) {
@@ -251,17 +264,24 @@
   if (service == services_.end()) {
     return;
   }
-  const double weight = options_.prompt.measurement_weight;
-  const auto update = [weight](double& average, Duration sample) {
-    const auto value = static_cast<double>(sample.count());
-    average = average > 0 ? average + weight * (value - average) : value;
+  // The mean of the first samples, then a moving average.
+  const auto update = [this](double& average, std::uint32_t samples, Duration sample) {
+    const double weight = std::max(options_.prompt.measurement_weight, 1.0 / samples);
+    average += weight * (static_cast<double>(sample.count()) - average);
   };
-  update(service->second.call_duration_us, duration);
-  if (interval > Duration(0)) {
-    update(service->second.event_interval_us, interval);
-    update(entry.event_interval_us, interval);
-    entry.interval_updated = now;
+  ServiceEntry& measured = service->second;
+  ++measured.calls_measured;
+  update(measured.call_duration_us, measured.calls_measured, times.duration);
+  if (times.events < kMinMeasuredEvents) {
+    return;
   }
+  const Duration interval = times.streaming / (times.events - 1);
+  ++measured.streams_measured;
+  update(measured.streaming_us, measured.streams_measured, times.streaming);
+  update(measured.event_interval_us, measured.streams_measured, interval);
+  ++entry.streams_measured;
+  update(entry.event_interval_us, entry.streams_measured, interval);
+  entry.interval_updated = now;
 }
 
 void EndpointTable::OnStarted(const EndpointId& endpoint) {
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -19,8 +19,8 @@
 struct PromptCosts {
   /// Delay that one running call and the prompts of its successors cause to another.
   Duration per_running_call = std::chrono::milliseconds(10);
-  /// Time to read a token that is not cached, including the delay of the calls that run beside it.
-  std::chrono::duration<double, std::micro> per_uncached_token{20};
+  /// Time to read a token that is not cached.
+  std::chrono::duration<double, std::micro> per_uncached_token{10};
   /// Cost of another zone: latency, and bytes between zones.
   Duration other_zone = std::chrono::milliseconds(15);
   /// Duration of a call before the first one is measured.
@@ -28,10 +28,10 @@
   /// Delay equivalent to a failure rate of 1.
   Duration failure = std::chrono::seconds(1);
   /// Weight of the latest call in the moving averages of durations and of token intervals.
-  double measurement_weight = 0.2;
+  double measurement_weight = 0.05;
   /// Time after which a measured token interval counts little, so that a recovered engine is used
   /// again.
-  Duration interval_validity = std::chrono::seconds(10);
+  Duration interval_validity = std::chrono::seconds(30);
 };
 
 struct EndpointTableOptions {
@@ -62,6 +62,15 @@
   std::optional<SharedPrefix> shared_prefix = {};
 };
 
+/// @brief Measured times of a completed stream.
+struct StreamTimes {
+  /// From the request to the end of the response.
+  Duration duration{};
+  /// From the first to the last event.
+  Duration streaming{};
+  std::uint32_t events = 0;
+};
+
 /// @brief Result of an attempt, as far as it indicates the health of the endpoint.
 enum class AttemptResult : std::uint8_t {
   kSucceeded,
@@ -96,12 +105,7 @@
                                    std::mt19937_64& random);
   /// @brief Counts a new call as demand for its shared prefix.
   void OnDemand(const ServiceId& service, const SharedPrefix& prefix, MonotonicTime now);
-  /// @brief Records the measured times of a completed stream. `interval` is the time between two
-  /// events.
-  void OnStreamCompleted(const EndpointId& endpoint,
-                         Duration duration,
-                         Duration interval,
-                         MonotonicTime now);
+  void OnStreamCompleted(const EndpointId& endpoint, const StreamTimes& times, MonotonicTime now);
   void OnStarted(const EndpointId& endpoint);
   void OnFinished(const EndpointId& endpoint, AttemptResult result, MonotonicTime now);
 
@@ -117,6 +121,7 @@
     MonotonicTime avoid_until;
     /// Moving average of the time between two events of a stream; 0 before the first one.
     double event_interval_us = 0;
+    std::uint32_t streams_measured = 0;
     MonotonicTime interval_updated;
   };
   struct ServiceEntry {
@@ -124,7 +129,10 @@
     HomeSets home_sets = {};
     /// Moving averages; 0 before the first completed stream.
     double call_duration_us = 0;
+    double streaming_us = 0;
     double event_interval_us = 0;
+    std::uint32_t calls_measured = 0;
+    std::uint32_t streams_measured = 0;
   };
 
   double Load(const Entry& entry) const;
--- a/src/gateway/shared_prompt_load_test.cc
+++ b/src/gateway/shared_prompt_load_test.cc
@@ -198,11 +198,14 @@
     EndpointTable& table = tables_[call.daemon];
     table.OnFinished(endpoint, AttemptResult::kSucceeded, Now());
     const double duration_ms = now_ms_ - call.arrived_ms;
-    const auto interval = std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double, std::milli>(kDecodeMs * engines_[call.engine].slowness / 5));
-    table.OnStreamCompleted(endpoint,
-                            std::chrono::milliseconds(static_cast<std::int64_t>(duration_ms)),
-                            interval, Now());
+    const auto streaming = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(kDecodeMs * engines_[call.engine].slowness));
+    table.OnStreamCompleted(
+        endpoint,
+        {.duration = std::chrono::milliseconds(static_cast<std::int64_t>(duration_ms)),
+         .streaming = streaming,
+         .events = 6},
+        Now());
     if (now_ms_ > kWarmUpMs) {
       ++turns_;
       const double delay_ms = duration_ms - kDecodeMs;
--- a/src/routing/home_sets.cc
+++ b/src/routing/home_sets.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A prefix with less demand has not been requested for three demand windows.
+constexpr double kMinRecentDemand = 0.05;
+
 PrefixId AppendPart(PrefixId prefix, const PromptPart& part) {
   const std::uint64_t ids[] = {prefix.value(), part.id.value()};
   return PrefixId(Hash64({reinterpret_cast<const char*>(ids), sizeof(ids)}));
@@ -107,6 +110,20 @@
   return std::min(options_.headroom, memory * weight / weighted_tokens);
 }
 
+bool HomeSets::AllPrefixesFit(MonotonicTime now) {
+  if (memory_ == TokenCount()) {
+    return true;
+  }
+  double tokens = 0;
+  for (auto& [id, demand] : demands_) {
+    Update(demand, now);
+    if (demand.weight >= kMinRecentDemand) {
+      tokens += static_cast<double>(demand.tokens.value());
+    }
+  }
+  return tokens <= options_.max_memory_share * static_cast<double>(memory_.value());
+}
+
 const std::vector<std::uint32_t>& HomeSets::Ranks(PrefixId prefix) {
   const auto known = ranks_.find(prefix);
   if (known != ranks_.end()) {
--- a/src/routing/home_sets_test.cc
+++ b/src/routing/home_sets_test.cc
@@ -110,6 +110,22 @@
   BOOST_TEST(kPrefixes * limited <= kEndpoints * 3 / 2 + kPrefixes * kZones);
 }
 
+// Guards against programs that are confined to a few engines although every engine can cache all
+// prefixes.
+BOOST_AUTO_TEST_CASE(prefixes_fit_while_they_need_half_of_the_memory) {
+  sets.SetMembers(MakeMembers(kEndpoints));
+  sets.OnRequest(MakePrefix(1), At(0));
+  sets.OnRequest(MakePrefix(2), At(0));
+  BOOST_TEST(sets.AllPrefixesFit(At(0)));
+  sets.SetMemory(TokenCount(40'000));
+  BOOST_TEST(sets.AllPrefixesFit(At(0)));
+  sets.OnRequest(MakePrefix(3), At(0));
+  BOOST_TEST(!sets.AllPrefixesFit(At(0)));
+  // The demand for all but one prefix has ended.
+  sets.OnRequest(MakePrefix(3), At(300'000));
+  BOOST_TEST(sets.AllPrefixesFit(At(300'000)));
+}
+
 // Guards against unbounded memory when callers send prefixes that never repeat.
 BOOST_AUTO_TEST_CASE(recorded_prefixes_are_bounded) {
   HomeSets bounded{HomeSetOptions{.max_prefixes = 10}};
