--- a/fakes/fake_store.cc
+++ b/fakes/fake_store.cc
@@ -99,6 +99,11 @@
   Execute(topic, 0, {.at = {}, .producer = {}, .records = {record + key + value}});
 }
 
+void FakeStore::DropHistory(const std::string& topic) {
+  StorePartition& partition = partitions_[{topic, 0}];
+  partition.TrimBefore(partition.end());
+}
+
 void FakeStore::ReassignPartitions() {
   for (auto& [name, group] : groups_) {
     group.ReassignPartitions();
--- a/fakes/fake_store.h
+++ b/fakes/fake_store.h
@@ -28,6 +28,8 @@
   /// @brief Writes a key of a keyed topic, as the operator or a server does. An empty value deletes
   /// the key.
   void WriteKey(const std::string& topic, const std::string& key, const std::string& value);
+  /// @brief Deletes the records of a keyed topic; the newest one of each key remains readable.
+  void DropHistory(const std::string& topic);
   /// @brief Reassigns the partitions of all groups (see StoreGroup::ReassignPartitions).
   void ReassignPartitions();
 
