--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -89,9 +89,12 @@
   /// @brief Adds the next piece and returns the record if the piece completes one. Throws
   /// RecordError for an invalid piece; later complete records can still be read.
   std::optional<Record> AddPiece(std::string_view piece);
+  /// @brief Number of pieces of the record that AddPiece() returned last.
+  std::uint32_t last_piece_count() const { return last_piece_count_; }
 
  private:
   std::string joined_;
+  std::uint32_t last_piece_count_ = 0;
   std::uint32_t next_piece_ = 0;
 };
 
