Keep all pieces of a record that a takeover has read

Cause: a record of several pieces that was read at a takeover got the offset of its last piece. The log was then trimmed before that offset, and the next owner could not read the record: the history of the turn was lost.

Change: the offset of the first piece is used, as for records written by the owner itself.

Result: partition/record_of_several_pieces_survives_trimming_after_a_takeover failed before.

--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -89,7 +89,9 @@
   for (const std::string& piece : read.pieces) {
     try {
       if (const auto record = reader_.AddPiece(piece)) {
-        ledger_.Apply(*record, next_offset_, store_.Now());
+        // The offset of a record is that of its first piece, before which the log may be trimmed.
+        const std::uint64_t earlier_pieces = reader_.last_piece_count() - 1;
+        ledger_.Apply(*record, RecordOffset(next_offset_.value() - earlier_pieces), store_.Now());
       }
     } catch (const RecordError& error) {
       LOG(WARNING) << "partition " << id_ << " offset " << next_offset_
--- a/src/ledger/partition_test.cc
+++ b/src/ledger/partition_test.cc
@@ -59,6 +59,33 @@
   BOOST_TEST(HasTurn(next, "6"));
 }
 
+// Guards against a history that is lost because the log was trimmed within a record of several
+// pieces that an owner had read at its takeover.
+BOOST_AUTO_TEST_CASE(record_of_several_pieces_survives_trimming_after_a_takeover) {
+  TestStore store;
+  const PartitionOptions options{.max_piece_bytes = 256, .min_trim_records = 1};
+  const auto first = StartOwner(store, 1, options);
+  store.Run(kSettleTime);
+  std::mt19937_64 random(5);
+  Record large = TurnRecord("large");
+  large.turn->recorded_at = store.WallNow();
+  // Random, so that compression does not make it a single piece.
+  for (int i = 0; i < 2000; ++i) {
+    large.turn->input.push_back(static_cast<char>(random()));
+  }
+  BOOST_REQUIRE(EncodeRecord(large, options.max_piece_bytes).size() > 3U);
+  first->Append(large, [](bool) {});
+  store.Run(kSettleTime);
+  const auto second = StartOwner(store, 2, options);
+  store.Run(kSettleTime);
+  BOOST_TEST(HasTurn(second, "large"));
+  second->Maintain();
+  store.Run(kSettleTime);
+  const auto third = StartOwner(store, 3, options);
+  store.Run(kSettleTime);
+  BOOST_TEST(HasTurn(third, "large"));
+}
+
 // Guards against a paused owner that continues to write after its partition has moved.
 BOOST_AUTO_TEST_CASE(former_owner_is_fenced) {
   TestStore store;
