--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -146,7 +146,10 @@
           },
       .preferred_endpoint =
           [this](const ProgramContext& program) {
-            auto found = last_endpoint_.find(program.session.value());
+            // Requests without a session must not share one endpoint.
+            auto found = program.session.value().empty()
+                             ? last_endpoint_.end()
+                             : last_endpoint_.find(program.session.value());
             if (found == last_endpoint_.end()) {
               found = last_endpoint_.find(program.program.value());
             }
