Report the load of engines only, and less often

Load reports every 25 to 40 ms were the largest part of the messages, most of them for calls of plain services, which last 13 to 50 ms and have ended before the counts are used.

Change: only calls of engines are reported, at most every 50 ms or 3 ms per daemon of the zone; plain services are chosen by own calls. A load report also counts as a heartbeat; a complete status follows at least every second.

--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -25,6 +25,7 @@
                  .max_response_bytes = kMaxResponseBytes}) {
     context.endpoints.SetEndpoints(
         {{.id = EndpointId("e"), .service = kService, .address = server.address(), .slots = 1}});
+    context.endpoints.SetEngineMemory(kService, TokenCount(1));
   }
 
   void Start(RequestKind kind) {
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -105,13 +105,18 @@
 InFlightCounts EndpointTable::OwnCounts() const {
   InFlightCounts counts;
   for (const auto& [id, entry] : endpoints_) {
-    if (entry.own_in_flight > 0) {
+    if (entry.own_in_flight > 0 && IsEngine(entry)) {
       counts.emplace_back(id, entry.own_in_flight);
     }
   }
   return counts;
 }
 
+bool EndpointTable::IsEngine(const Entry& entry) const {
+  const auto memory = engine_memory_.find(entry.description.service);
+  return memory != engine_memory_.end() && memory->second > TokenCount();
+}
+
 double EndpointTable::Load(const Entry& entry) const {
   return static_cast<double>(entry.own_in_flight + entry.remote_in_flight) /
          static_cast<double>(std::max<std::uint32_t>(entry.description.slots, 1));
@@ -287,7 +292,7 @@
 void EndpointTable::OnStarted(const EndpointId& endpoint) {
   if (const auto found = endpoints_.find(endpoint); found != endpoints_.end()) {
     ++found->second.own_in_flight;
-    ++own_changes_;
+    own_changes_ += IsEngine(found->second) ? 1 : 0;
   }
 }
 
@@ -300,7 +305,7 @@
   }
   Entry& entry = found->second;
   entry.own_in_flight -= std::min<std::uint32_t>(1, entry.own_in_flight);
-  ++own_changes_;
+  own_changes_ += IsEngine(entry) ? 1 : 0;
   switch (result) {
     case AttemptResult::kCancelled:
     case AttemptResult::kRejected:
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -95,6 +95,8 @@
   /// @brief Replaces the counts of calls that another daemon has in flight.
   void SetRemoteCounts(const DaemonId& daemon, const InFlightCounts& counts);
   void ForgetDaemon(const DaemonId& daemon);
+  /// @brief Own calls in flight at engines. Calls of plain services end before other daemons could
+  /// use their counts.
   InFlightCounts OwnCounts() const;
   /// @brief Increases with each change of OwnCounts().
   std::uint64_t own_changes() const { return own_changes_; }
@@ -148,6 +150,7 @@
   /// @brief Expected delay of a prompt on the endpoint, in microseconds, apart from reading it.
   double ExpectedDelay(const ServiceEntry& service, const Entry& entry, MonotonicTime now) const;
   void UpdateServices();
+  bool IsEngine(const Entry& entry) const;
 
   AvailabilityZone zone_;
   EndpointTableOptions options_;
--- a/src/gateway/endpoint_table_test.cc
+++ b/src/gateway/endpoint_table_test.cc
@@ -48,6 +48,47 @@
   BOOST_TEST(ChooseMany(100, {.service = kService}).size() == 2U);
 }
 
+// Guards against counts of short calls that have ended before another daemon receives them, and
+// make all daemons avoid or choose the same endpoint.
+BOOST_AUTO_TEST_CASE(only_calls_of_engines_are_reported) {
+  RegisteredEndpoint tool = MakeEndpoint("t");
+  tool.service = ServiceId("tools");
+  table.SetEndpoints({MakeEndpoint("e"), tool});
+  table.SetEngineMemory(kService, TokenCount(1000));
+  table.SetEngineMemory(tool.service, TokenCount());
+  table.OnStarted(tool.id);
+  BOOST_TEST(table.own_changes() == 0U);
+  BOOST_TEST(table.OwnCounts().empty());
+  table.OnStarted(EndpointId("e"));
+  BOOST_TEST(table.own_changes() == 1U);
+  BOOST_TEST((table.OwnCounts() == InFlightCounts{{EndpointId("e"), 1}}));
+}
+
+// Guards against an engine that counts as slow because of one slow stream, so that its sessions
+// move and their prompts are read again elsewhere.
+BOOST_AUTO_TEST_CASE(one_slow_stream_moves_no_session) {
+  table.SetEndpoints({MakeEndpoint("a"), MakeEndpoint("b")});
+  table.SetEngineMemory(kService, TokenCount(1000));
+  const SharedPrefix prefix{.id = PrefixId(1), .tokens = TokenCount(2500)};
+  table.OnDemand(kService, prefix, kNow);
+  const EndpointQuery query{.service = kService,
+                            .preferred = EndpointId("a"),
+                            .prompt = TokenCount(6000),
+                            .shared_prefix = prefix};
+  const StreamTimes normal{.duration = std::chrono::milliseconds(300),
+                           .streaming = std::chrono::milliseconds(200),
+                           .events = 11};
+  const StreamTimes slow{.duration = std::chrono::seconds(3),
+                         .streaming = std::chrono::milliseconds(600),
+                         .events = 11};
+  for (int i = 0; i < 20; ++i) {
+    table.OnStreamCompleted(EndpointId("a"), normal, kNow);
+    table.OnStreamCompleted(EndpointId("b"), normal, kNow);
+  }
+  table.OnStreamCompleted(EndpointId("a"), slow, kNow);
+  BOOST_TEST(ChooseMany(20, query)["a"] == 20);
+}
+
 // Guards against turns of a program that leave the engine which has the program's prefix cached.
 BOOST_AUTO_TEST_CASE(session_stays_until_its_endpoint_is_full) {
   table.SetEndpoints({MakeEndpoint("a"), MakeEndpoint("b")});
--- a/src/gateway/heartbeat_plan.cc
+++ b/src/gateway/heartbeat_plan.cc
@@ -13,10 +13,10 @@
 constexpr Duration kPeriodPerPeer = std::chrono::microseconds(5500);
 
 // Calls last some hundred milliseconds, and counts that are older than a call are of no use.
-constexpr Duration kMinLoadPeriod = std::chrono::milliseconds(25);
-// Limits a daemon to 670 reports per second. Most periods send none, because no call has started or
+constexpr Duration kMinLoadPeriod = std::chrono::milliseconds(50);
+// Limits a daemon to 340 reports per second. Many periods send none, because no call has started or
 // ended.
-constexpr Duration kLoadPeriodPerPeer = std::chrono::microseconds(1500);
+constexpr Duration kLoadPeriodPerPeer = std::chrono::milliseconds(3);
 
 Duration PeriodForPeers(std::size_t peers) {
   return std::max(kMinPeriod, kPeriodPerPeer * static_cast<std::int64_t>(peers));
--- a/src/gateway/heartbeat_plan.h
+++ b/src/gateway/heartbeat_plan.h
@@ -12,7 +12,7 @@
   Duration same_zone = std::chrono::milliseconds(200);
   Duration other_zone = std::chrono::milliseconds(200);
   /// Minimum time between two reports of changed load to the daemons of the zone.
-  Duration load = std::chrono::milliseconds(25);
+  Duration load = std::chrono::milliseconds(50);
 };
 
 /// @brief Periods for a daemon with the given number of peers in its zone and in all zones. They
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -11,6 +11,8 @@
 
 // After this many missed heartbeats, a daemon is considered stopped, paused or disconnected.
 constexpr int kMissedHeartbeats = 5;
+// Longest time between two complete statuses while load reports replace the heartbeats.
+constexpr Duration kMaxStatusAge = std::chrono::seconds(1);
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
 // The first attempt after a loss shows whether the process ended or only the connection broke.
 constexpr Duration kFirstReconnectDelay = std::chrono::milliseconds(20);
@@ -87,6 +89,10 @@
     return;
   }
   if (const auto* load = std::get_if<PeerLoad>(&*message)) {
+    // Sent instead of a heartbeat while the load changes.
+    if (const auto last = last_statuses_.find(id); last != last_statuses_.end()) {
+      last->second.received_at = context_.loop.Now();
+    }
     handlers_.on_load(id, *load);
     return;
   }
@@ -202,9 +208,12 @@
   for (auto& [id, link] : outgoing_) {
     // Half a period of tolerance, because the timer fires a little earlier or later.
     const Duration due = PeriodFor(link.member) - periods_.same_zone / 2;
-    if (IsOpen(id) && now - link.last_status_sent_at >= due) {
+    const bool is_due =
+        now - link.last_sent_at >= due || now - link.last_status_sent_at >= kMaxStatusAge;
+    if (IsOpen(id) && is_due) {
       link.connection->Send(payload);
       link.last_status_sent_at = now;
+      link.last_sent_at = now;
     }
   }
 }
@@ -216,15 +225,18 @@
     if (IsOpen(id)) {
       link.connection->Send(payload);
       link.last_status_sent_at = now;
+      link.last_sent_at = now;
     }
   }
 }
 
 void PeerLinks::SendLoad(const PeerLoad& load) {
   const std::string payload = EncodePeerMessage(load);
+  const MonotonicTime now = context_.loop.Now();
   for (auto& [id, link] : outgoing_) {
     if (link.member.zone == context_.options.self.zone && IsOpen(id)) {
       link.connection->Send(payload);
+      link.last_sent_at = now;
     }
   }
 }
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -72,6 +72,8 @@
     net::Timer retry_timer;
     MonotonicTime opened_at;
     MonotonicTime last_status_sent_at;
+    /// When the last status or load was sent.
+    MonotonicTime last_sent_at;
     /// Connection attempts since the connection was last open.
     std::uint32_t attempts = 0;
   };
