--- a/include/acaciaspring/wire.h
+++ b/include/acaciaspring/wire.h
@@ -137,12 +137,6 @@
   return value;
 }
 
-/// @brief Compresses bytes. Returns nullopt if they are too few or would not get smaller.
-std::optional<std::string> Compress(std::string_view bytes);
-/// @brief Inverse of Compress(). Throws DecodeError if the bytes are invalid or the result has more
-/// than `max_bytes`.
-std::string Decompress(std::string_view bytes, std::size_t max_bytes);
-
 inline constexpr std::size_t kMaxFrameBytes = std::size_t{8} << 20;
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
 inline constexpr std::size_t kMacBytes = 16;
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -16,39 +16,26 @@
   }...};
 }
 
-// Set in the type of a message whose payload is compressed. Prompts and chains are, because bytes
-// between zones are expensive.
-constexpr unsigned char kCompressedFlag = 0x80;
-
 constexpr auto kDecoders =
     MakeDecoders(std::make_index_sequence<std::variant_size_v<PeerMessage>>());
 
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
-  const std::string payload =
-      std::visit([](const auto& typed) { return wire::Encode(typed); }, message);
-  const auto type = static_cast<unsigned char>(message.index());
-  if (const auto compressed = wire::Compress(payload)) {
-    return std::string(1, static_cast<char>(type | kCompressedFlag)) + *compressed;
-  }
-  return std::string(1, static_cast<char>(type)) + payload;
+  std::string bytes(1, static_cast<char>(message.index()));
+  std::visit([&](const auto& typed) { bytes += wire::Encode(typed); }, message);
+  return bytes;
 }
 
 PeerMessage DecodePeerMessage(std::string_view bytes) {
   if (bytes.empty()) {
     throw wire::DecodeError(wire::DecodeFault::kTruncated);
   }
-  const auto first = static_cast<unsigned char>(bytes.front());
-  const std::size_t type = first & ~kCompressedFlag;
+  const auto type = static_cast<std::size_t>(static_cast<unsigned char>(bytes.front()));
   if (type >= kDecoders.size()) {
     throw wire::DecodeError(wire::DecodeFault::kInvalid);
   }
-  const std::string_view payload = bytes.substr(1);
-  if ((first & kCompressedFlag) != 0) {
-    return kDecoders[type](wire::Decompress(payload, wire::kMaxFrameBytes));
-  }
-  return kDecoders[type](payload);
+  return kDecoders[type](bytes.substr(1));
 }
 
 }  // namespace acaciaspring::gateway
--- a/src/ledger/partition_test.cc
+++ b/src/ledger/partition_test.cc
@@ -69,7 +69,6 @@
   std::mt19937_64 random(5);
   Record large = TurnRecord("large");
   large.turn->recorded_at = store.WallNow();
-  // Random, so that compression does not make it a single piece.
   for (int i = 0; i < 2000; ++i) {
     large.turn->input.push_back(static_cast<char>(random()));
   }
--- a/src/ledger/record.cc
+++ b/src/ledger/record.cc
@@ -16,9 +16,6 @@
 };
 
 constexpr std::size_t kPieceHeaderBytes = 2 * sizeof(std::uint32_t);
-// Set in the count of a record whose bytes are compressed. A takeover reads all records of a
-// partition, and all daemons share the read rate of the store.
-constexpr std::uint32_t kCompressedFlag = std::uint32_t{1} << 31U;
 
 struct EncodedRecord {
   std::vector<ProgramSpend> spends;
@@ -39,17 +36,12 @@
   if (record.turn) {
     encoded.turns.push_back(*record.turn);
   }
-  std::string bytes = wire::Encode(encoded);
-  std::uint32_t flags = 0;
-  if (auto compressed = wire::Compress(bytes)) {
-    bytes = std::move(*compressed);
-    flags = kCompressedFlag;
-  }
+  const std::string bytes = wire::Encode(encoded);
   const std::size_t room = max_piece_bytes - kPieceHeaderBytes;
   const auto count = static_cast<std::uint32_t>((bytes.size() + room - 1) / room);
   std::vector<std::string> pieces;
   for (std::uint32_t index = 0; index < count; ++index) {
-    pieces.push_back(wire::Encode(PieceHeader{.index = index, .count = count | flags}) +
+    pieces.push_back(wire::Encode(PieceHeader{.index = index, .count = count}) +
                      bytes.substr(index * room, room));
   }
   return pieces;
@@ -60,9 +52,7 @@
     throw RecordError("ledger record piece too short: " + std::to_string(piece.size()) + " bytes");
   }
   try {
-    auto header = wire::Decode<PieceHeader>(piece.substr(0, kPieceHeaderBytes));
-    const bool is_compressed = (header.count & kCompressedFlag) != 0;
-    header.count &= ~kCompressedFlag;
+    const auto header = wire::Decode<PieceHeader>(piece.substr(0, kPieceHeaderBytes));
     if (header.index == 0) {
       joined_.clear();
       next_piece_ = 0;
@@ -79,9 +69,6 @@
     }
     next_piece_ = 0;
     last_piece_count_ = header.count;
-    if (is_compressed) {
-      joined_ = wire::Decompress(joined_, wire::kMaxFrameBytes);
-    }
     auto encoded = wire::Decode<EncodedRecord>(joined_);
     joined_.clear();
     Record record;
