--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -50,7 +50,7 @@
   void SendWithoutEnd(const std::string& start) {
     net::RawConnection& connection = *server.connections()[0];
     connection.Send(start);
-    sender = loop.Every(std::chrono::milliseconds(1), [this, &connection] {
+    sender = loop.Every(std::chrono::milliseconds(1), [&connection] {
       if (!connection.ended()) {
         connection.Send(std::string(16384, 'x'));
       }
