Bound the time of a choice and the statuses to other zones

Cause: read in the diff. A choice summed over all prefixes with recorded demand, up to 1,024, twice; the sums are now valid for 100 ms. A complete status after one second applied to daemons of other zones too, whose period is longer from 182 daemons on.

--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -184,6 +184,16 @@
     MonotonicTime updated{};
   };
 
+  /// @brief Sums over all prefixes.
+  struct Totals {
+    MonotonicTime updated{};
+    double weight = 0;
+    double weighted_tokens = 0;
+    /// Tokens of the prefixes with recent demand.
+    double recent_tokens = 0;
+  };
+
+  const Totals& UpdatedTotals(MonotonicTime now);
   void Update(Demand& demand, MonotonicTime now) const;
   void RemoveLeastDemanded(MonotonicTime now);
   double Headroom(MonotonicTime now);
@@ -195,6 +205,8 @@
   std::vector<Member> members_;
   std::vector<std::uint32_t> zone_sizes_;
   Demand total_;
+  /// Absent if a prefix was added since the last update.
+  std::optional<Totals> totals_;
   std::unordered_map<PrefixId, Demand> demands_;
   /// Ranks by prefix; cleared when the members change.
   std::unordered_map<PrefixId, std::vector<std::uint32_t>> ranks_;
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -208,8 +208,8 @@
   for (auto& [id, link] : outgoing_) {
     // Half a period of tolerance, because the timer fires a little earlier or later.
     const Duration due = PeriodFor(link.member) - periods_.same_zone / 2;
-    const bool is_due =
-        now - link.last_sent_at >= due || now - link.last_status_sent_at >= kMaxStatusAge;
+    const bool is_due = now - link.last_sent_at >= due ||
+                        now - link.last_status_sent_at >= std::max(due, kMaxStatusAge);
     if (IsOpen(id) && is_due) {
       link.connection->Send(payload);
       link.last_status_sent_at = now;
--- a/src/routing/home_sets.cc
+++ b/src/routing/home_sets.cc
@@ -10,6 +10,8 @@
 
 // A prefix with less demand has not been requested for three demand windows.
 constexpr double kMinRecentDemand = 0.05;
+// Sums over all prefixes would make each choice slower with the number of prefixes.
+constexpr Duration kTotalsValidity = std::chrono::milliseconds(100);
 
 PrefixId AppendPart(PrefixId prefix, const PromptPart& part) {
   const std::uint64_t ids[] = {prefix.value(), part.id.value()};
@@ -73,7 +75,11 @@
   if (!demands_.contains(prefix.id) && demands_.size() >= options_.max_prefixes) {
     RemoveLeastDemanded(now);
   }
-  Demand& demand = demands_[prefix.id];
+  const auto [entry, added] = demands_.try_emplace(prefix.id);
+  if (added) {
+    totals_.reset();
+  }
+  Demand& demand = entry->second;
   Update(demand, now);
   demand.tokens = prefix.tokens;
   demand.weight += 1;
@@ -92,36 +98,36 @@
 }
 
 double HomeSets::Headroom(MonotonicTime now) {
-  if (memory_ == TokenCount()) {
+  const Totals totals = UpdatedTotals(now);
+  if (memory_ == TokenCount() || totals.weighted_tokens <= 0) {
     return options_.headroom;
   }
-  double weight = 0;
-  double weighted_tokens = 0;
+  // The sets together contain each endpoint `headroom` times on average.
+  const double memory = options_.max_memory_share * static_cast<double>(memory_.value());
+  return std::min(options_.headroom, memory * totals.weight / totals.weighted_tokens);
+}
+
+const HomeSets::Totals& HomeSets::UpdatedTotals(MonotonicTime now) {
+  if (totals_ && now - totals_->updated < kTotalsValidity) {
+    return *totals_;
+  }
+  totals_ = Totals{.updated = now};
   for (auto& [id, demand] : demands_) {
     Update(demand, now);
-    weight += demand.weight;
-    weighted_tokens += demand.weight * static_cast<double>(demand.tokens.value());
+    const auto tokens = static_cast<double>(demand.tokens.value());
+    totals_->weight += demand.weight;
+    totals_->weighted_tokens += demand.weight * tokens;
+    totals_->recent_tokens += demand.weight >= kMinRecentDemand ? tokens : 0;
   }
-  if (weighted_tokens <= 0) {
-    return options_.headroom;
-  }
-  // The sets together contain each endpoint `headroom` times on average.
-  const double memory = options_.max_memory_share * static_cast<double>(memory_.value());
-  return std::min(options_.headroom, memory * weight / weighted_tokens);
+  return *totals_;
 }
 
 bool HomeSets::AllPrefixesFit(MonotonicTime now) {
   if (memory_ == TokenCount()) {
     return true;
   }
-  double tokens = 0;
-  for (auto& [id, demand] : demands_) {
-    Update(demand, now);
-    if (demand.weight >= kMinRecentDemand) {
-      tokens += static_cast<double>(demand.tokens.value());
-    }
-  }
-  return tokens <= options_.max_memory_share * static_cast<double>(memory_.value());
+  return UpdatedTotals(now).recent_tokens <=
+         options_.max_memory_share * static_cast<double>(memory_.value());
 }
 
 const std::vector<std::uint32_t>& HomeSets::Ranks(PrefixId prefix) {
