--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -186,8 +186,7 @@
   std::vector<bool> is_home;
   service.home_sets.FindMembers(query.shared_prefix->id, now, is_home);
   const TokenCount shared_tokens = std::min(query.shared_prefix->tokens, query.prompt);
-  // The counts of other daemons are older than many calls last, so daemons that compare the same
-  // counts must not all choose the same engine.
+  // Daemons that compare the same counts must not all choose the same engine.
   std::uniform_real_distribution<double> jitter(
       0.0, kJitterCalls * static_cast<double>(costs.per_running_call.count()));
   const RegisteredEndpoint* best = nullptr;
