--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -49,8 +49,7 @@
       context_.endpoints.Choose({.service = plan_.service,
                                  .preferred = plan_.preferred,
                                  .excluded = tried_endpoints_,
-                                 .prompt = plan_.prompt.tokens,
-                                 .shared_prefix = plan_.prompt.shared_prefix},
+                                 .prompt = plan_.prompt},
                                 context_.loop.Now(), context_.random);
   if (endpoint == nullptr) {
     // Posted, so that no callback runs before Start returns.
@@ -70,7 +69,6 @@
   tried_endpoints_.push_back(endpoint->id);
   ++attempts_;
   rejected_ = false;
-  rejected_bytes_ = 0;
   received_bytes_ = 0;
   status_ = 0;
   buffered_body_.clear();
@@ -135,15 +133,14 @@
 }
 
 void EndpointCall::OnData(std::string_view data) {
+  received_bytes_ += data.size();
   if (rejected_) {
-    rejected_bytes_ += data.size();
-    if (rejected_bytes_ > kMaxRejectionBytes) {
+    if (received_bytes_ > kMaxRejectionBytes) {
       // Not from within the callback of the attempt that this ends.
       attempt_timer_ = context_.loop.After(Duration(0), [this] { AbandonRejection(); });
     }
     return;
   }
-  received_bytes_ += data.size();
   if (received_bytes_ > context_.options.max_response_bytes) {
     attempt_timer_ = context_.loop.After(Duration(0), [this] { OnResponseTooLarge(); });
     http_call_->Cancel();
@@ -184,13 +181,12 @@
   if (done_) {
     return;
   }
-  std::visit(Overloaded{[&](const net::HttpFinished&) {
-                          if (rejected_) {
-                            OnRejected();
-                          } else {
-                            OnResponseComplete();
-                          }
-                        },
+  if (rejected_) {
+    // Nothing was executed, even if the body of the rejection is incomplete.
+    OnRejected();
+    return;
+  }
+  std::visit(Overloaded{[&](const net::HttpFinished&) { OnResponseComplete(); },
                         [&](const net::HttpNotSent&) {
                           EndAttempt(AttemptResult::kFailed);
                           RetryOrFinish(NotRun{.reason = NotRunReason::kEndpointUnavailable});
@@ -257,10 +253,6 @@
 }
 
 void EndpointCall::OnInterrupted(bool timed_out) {
-  if (rejected_) {
-    OnRejected();
-    return;
-  }
   ++possible_runs_;
   EndAttempt(AttemptResult::kFailed);
   const Unknown unknown{timed_out ? UnknownReason::kTimeout : UnknownReason::kConnectionLost};
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -94,7 +94,7 @@
   net::Headers response_headers_;
   /// The endpoint reported that it did not execute the request.
   bool rejected_ = false;
-  std::size_t rejected_bytes_ = 0;
+  /// Bytes of the response body of the current attempt.
   std::size_t received_bytes_ = 0;
   /// Body of a response that is buffered until it is complete.
   std::string buffered_body_;
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -136,7 +136,7 @@
     return nullptr;
   }
   const bool by_prefix =
-      query.shared_prefix.has_value() && !service->second.home_sets.AllPrefixesFit(now);
+      query.prompt.shared_prefix.has_value() && !service->second.home_sets.AllPrefixesFit(now);
   return by_prefix ? ChooseForPrompt(service->second, query, now, random)
                    : ChooseByLoad(service->second, query, now, random);
 }
@@ -184,8 +184,9 @@
                                                          std::mt19937_64& random) {
   const PromptCosts& costs = options_.prompt;
   std::vector<bool> is_home;
-  service.home_sets.FindMembers(query.shared_prefix->id, now, is_home);
-  const TokenCount shared_tokens = std::min(query.shared_prefix->tokens, query.prompt);
+  const SharedPrefix& shared_prefix = *query.prompt.shared_prefix;
+  service.home_sets.FindMembers(shared_prefix.id, now, is_home);
+  const TokenCount shared_tokens = std::min(shared_prefix.tokens, query.prompt.tokens);
   // Daemons that compare the same counts must not all choose the same engine.
   std::uniform_real_distribution<double> jitter(
       0.0, kJitterCalls * static_cast<double>(costs.per_running_call.count()));
@@ -196,7 +197,7 @@
     if (!Usable(entry, query)) {
       continue;
     }
-    TokenCount uncached = query.prompt;
+    TokenCount uncached = query.prompt.tokens;
     if (entry.description.id == query.preferred) {
       uncached = TokenCount();
     } else if (is_home[i]) {
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -56,10 +56,7 @@
   /// Endpoint of the session's previous call; may be empty.
   EndpointId preferred = {};
   std::vector<EndpointId> excluded = {};
-  /// Tokens of the prompt, 0 for a call without a prompt.
-  TokenCount prompt = {};
-  /// The part of the prompt that other programs share.
-  std::optional<SharedPrefix> shared_prefix = {};
+  Prompt prompt = {};
 };
 
 /// @brief Measured times of a completed stream.
--- a/src/gateway/endpoint_table_test.cc
+++ b/src/gateway/endpoint_table_test.cc
@@ -73,8 +73,7 @@
   table.OnDemand(kService, prefix, kNow);
   const EndpointQuery query{.service = kService,
                             .preferred = EndpointId("a"),
-                            .prompt = TokenCount(6000),
-                            .shared_prefix = prefix};
+                            .prompt = {.tokens = TokenCount(6000), .shared_prefix = prefix}};
   const StreamTimes normal{.duration = std::chrono::milliseconds(300),
                            .streaming = std::chrono::milliseconds(200),
                            .events = 11};
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -203,26 +203,24 @@
 
 void PeerLinks::Heartbeat(const PeerStatus& status) {
   CloseSilent();
-  const std::string payload = EncodePeerMessage(status);
-  const MonotonicTime now = context_.loop.Now();
-  for (auto& [id, link] : outgoing_) {
+  SendStatusIf(status, [this, now = context_.loop.Now()](const Outgoing& link) {
     // Half a period of tolerance, because the timer fires a little earlier or later.
     const Duration due = PeriodFor(link.member) - periods_.same_zone / 2;
-    const bool is_due = now - link.last_sent_at >= due ||
-                        now - link.last_status_sent_at >= std::max(due, kMaxStatusAge);
-    if (IsOpen(id) && is_due) {
-      link.connection->Send(payload);
-      link.last_status_sent_at = now;
-      link.last_sent_at = now;
-    }
-  }
+    return now - link.last_sent_at >= due ||
+           now - link.last_status_sent_at >= std::max(due, kMaxStatusAge);
+  });
 }
 
 void PeerLinks::SendStatus(const PeerStatus& status) {
+  SendStatusIf(status, [](const Outgoing&) { return true; });
+}
+
+void PeerLinks::SendStatusIf(const PeerStatus& status,
+                             const std::function<bool(const Outgoing&)>& is_due) {
   const std::string payload = EncodePeerMessage(status);
   const MonotonicTime now = context_.loop.Now();
   for (auto& [id, link] : outgoing_) {
-    if (IsOpen(id)) {
+    if (IsOpen(id) && is_due(link)) {
       link.connection->Send(payload);
       link.last_status_sent_at = now;
       link.last_sent_at = now;
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -89,6 +89,8 @@
   };
 
   Duration PeriodFor(const Member& member) const;
+  /// @brief Sends a status to the daemons for which `is_due` is true.
+  void SendStatusIf(const PeerStatus& status, const std::function<bool(const Outgoing&)>& is_due);
   void CloseSilent();
   net::PeerCallbacks Accept(net::PeerConnectionPtr connection);
   void Connect(const DaemonId& daemon);
--- a/src/gateway/shared_prompt_load_test.cc
+++ b/src/gateway/shared_prompt_load_test.cc
@@ -151,8 +151,7 @@
     if (options_.with_prefixes) {
       const SharedPrefix prefix{.id = PrefixId(call.prefix + 1),
                                 .tokens = TokenCount(kPrefixTokens)};
-      query.prompt = TokenCount(kPrefixTokens + kOwnTokens);
-      query.shared_prefix = prefix;
+      query.prompt = {.tokens = TokenCount(kPrefixTokens + kOwnTokens), .shared_prefix = prefix};
       table.OnDemand(kService, prefix, Now());
     }
     const RegisteredEndpoint* chosen = table.Choose(query, Now(), random_);
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -14,14 +14,14 @@
 
 namespace {
 
-HttpConnection& FromParser(http_parser* parser) {
-  return *static_cast<HttpConnection*>(parser->data);
-}
-
 // Responses to earlier requests that are longer than this close the connection.
 constexpr std::size_t kMaxStaleBytes = std::size_t{1} << 20;
 constexpr int kFirstErrorStatus = 400;
 
+HttpConnection& FromParser(http_parser* parser) {
+  return *static_cast<HttpConnection*>(parser->data);
+}
+
 bool IsInformational(const http_parser& parser) {
   return parser.status_code >= 100 && parser.status_code < 200;
 }
