--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -175,6 +175,8 @@
   std::string priority = {};
   /// Set by an endpoint that did not execute the request.
   std::string not_executed = {};
+  /// Requests per second that the endpoint accepts from all daemons together.
+  std::string rate_limit = {};
 };
 
 struct GatewayOptions {
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/gateway/rate_limit.h"
+
 namespace acaciaspring::gateway {
 
 namespace {
@@ -121,6 +123,7 @@
   response_headers_ = headers;
   rejected_ =
       !net::FindHeader(headers, context_.options.headers.not_executed).empty() || status == 421;
+  ReadRateLimit(headers);
   if (rejected_) {
     attempt_timer_ = context_.loop.After(kMaxRejectionTime, [this] { AbandonRejection(); });
     return;
@@ -132,6 +135,31 @@
   }
 }
 
+void EndpointCall::ReadRateLimit(const net::Headers& headers) {
+  if (status_ == 421) {
+    // A different endpoint responds at the address of the chosen one.
+    return;
+  }
+  const std::string_view text = net::FindHeader(headers, context_.options.headers.rate_limit);
+  const std::optional<double> limit = ParseRateLimit(text);
+  if (!limit && !text.empty()) {
+    context_.events.Write("invalid_endpoint_limit", {{"id", plan_.id.value()},
+                                                     {"endpoint", endpoint_.value()},
+                                                     {"text", std::string(text.substr(0, 64))}});
+    return;
+  }
+  if (const auto change = context_.endpoints.OnRateLimit(endpoint_, limit, context_.loop.Now())) {
+    context_.events.Write(
+        "endpoint_limit",
+        {{"endpoint", endpoint_.value()},
+         {"per_second", FormatRateLimit(change->current)},
+         {"former_per_second", FormatRateLimit(change->former)},
+         {"own_attempts", static_cast<std::int64_t>(change->attempts)},
+         {"period_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(change->period).count()}});
+  }
+}
+
 void EndpointCall::OnData(std::string_view data) {
   received_bytes_ += data.size();
   if (rejected_) {
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -51,6 +51,7 @@
   void Attempt();
   net::HttpClientRequest MakeRequest(const RegisteredEndpoint& endpoint) const;
   void OnHead(int status, const net::Headers& headers);
+  void ReadRateLimit(const net::Headers& headers);
   void OnData(std::string_view data);
   void OnDone(const net::HttpResult& result);
   void OnResponseComplete();
--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -21,7 +21,8 @@
                              .deadline_ms = "x-deadline",
                              .expected_endpoint = "x-endpoint",
                              .priority = "x-priority",
-                             .not_executed = "x-not-executed"},
+                             .not_executed = "x-not-executed",
+                             .rate_limit = "x-limit"},
                  .max_response_bytes = kMaxResponseBytes}) {
     context.endpoints.SetEndpoints(
         {{.id = EndpointId("e"), .service = kService, .address = server.address(), .slots = 1}});
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace acaciaspring::gateway {
 
@@ -289,9 +290,28 @@
   entry.interval_updated = now;
 }
 
+std::optional<RateLimitChange> EndpointTable::OnRateLimit(const EndpointId& endpoint,
+                                                          std::optional<double> per_second,
+                                                          MonotonicTime now) {
+  const auto found = endpoints_.find(endpoint);
+  if (found == endpoints_.end() || found->second.rate_limit == per_second) {
+    return std::nullopt;
+  }
+  Entry& entry = found->second;
+  const RateLimitChange change{
+      .former = entry.rate_limit,
+      .current = per_second,
+      .attempts = std::exchange(entry.attempts_since_change, 0),
+      .period = std::chrono::duration_cast<Duration>(now - entry.rate_limit_changed_at)};
+  entry.rate_limit = per_second;
+  entry.rate_limit_changed_at = now;
+  return change;
+}
+
 void EndpointTable::OnStarted(const EndpointId& endpoint) {
   if (const auto found = endpoints_.find(endpoint); found != endpoints_.end()) {
     ++found->second.own_in_flight;
+    ++found->second.attempts_since_change;
     own_changes_ += IsEngine(found->second) ? 1 : 0;
   }
 }
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -68,6 +68,16 @@
   std::uint32_t events = 0;
 };
 
+/// @brief A change of the rate limit that an endpoint names.
+struct RateLimitChange {
+  /// Requests per second; empty if the endpoint names no limit.
+  std::optional<double> former = {};
+  std::optional<double> current = {};
+  /// Own attempts since the former change, and the time since then.
+  std::uint64_t attempts = 0;
+  Duration period{};
+};
+
 /// @brief Result of an attempt, as far as it indicates the health of the endpoint.
 enum class AttemptResult : std::uint8_t {
   kSucceeded,
@@ -105,6 +115,11 @@
   /// @brief Counts a new call as demand for its shared prefix.
   void OnDemand(const ServiceId& service, const SharedPrefix& prefix, MonotonicTime now);
   void OnStreamCompleted(const EndpointId& endpoint, const StreamTimes& times, MonotonicTime now);
+  /// @brief Records the limit that a response of the endpoint names, or that it names none.
+  /// Returns the change, if there is one.
+  std::optional<RateLimitChange> OnRateLimit(const EndpointId& endpoint,
+                                             std::optional<double> per_second,
+                                             MonotonicTime now);
   void OnStarted(const EndpointId& endpoint);
   void OnFinished(const EndpointId& endpoint, AttemptResult result, MonotonicTime now);
 
@@ -122,6 +137,9 @@
     double event_interval_us = 0;
     std::uint32_t streams_measured = 0;
     MonotonicTime interval_updated;
+    std::optional<double> rate_limit;
+    MonotonicTime rate_limit_changed_at;
+    std::uint64_t attempts_since_change = 0;
   };
   struct ServiceEntry {
     std::vector<EndpointId> endpoints = {};
