Share the rate limits of endpoints among the daemons (LIMIT)

Cause: no part of the choice of an endpoint read the limit; single daemons alone sent up to 10 requests a second at a limit of 4 (event endpoint_limit). Retries and rejections were excluded: no attempt was rejected.

Change: daemons report limits to each other when they change, and each uses a share that it computes from the daemons that are present and call the service. Shares add up to 1, and the number of users and their bursts are bounded by the limit, so the target of one and a half times the limit and five more requests in four seconds also holds while daemons restart, are cut off, or have different views for a moment. Calls above the limits go to other endpoints, wait by urgency, or are refused with the expected time.

--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -6,6 +6,7 @@
 #include "acaciaspring/gateway.h"
 #include "acaciaspring/telemetry.h"
 #include "src/gateway/endpoint_table.h"
+#include "src/gateway/waiting_calls.h"
 
 namespace acaciaspring::gateway {
 
@@ -16,13 +17,15 @@
         options(gateway_options),
         // Endpoints with a shorter idle limit announce it in the keep-alive header.
         client(event_loop, {.pool_capacity = 64, .pool_idle_timeout = std::chrono::seconds(10)}),
-        endpoints(gateway_options.self.zone),
+        endpoints(gateway_options.self.zone, {.self = gateway_options.self.id}),
+        waiting_calls(event_loop),
         random(Hash64(gateway_options.self.id.value(), gateway_options.self.incarnation.value())) {}
 
   net::Loop& loop;
   GatewayOptions options;
   net::HttpClient client;
   EndpointTable endpoints;
+  WaitingCalls waiting_calls;
   std::mt19937_64 random;
   telemetry::EventLog events;
   telemetry::Registry metrics;
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/gateway/rate_limit.h"
+#include "src/gateway/rate_limit_log.h"
 
 namespace acaciaspring::gateway {
 
@@ -46,27 +46,101 @@
   Attempt();
 }
 
+EndpointQuery EndpointCall::MakeQuery() const {
+  return {.service = plan_.service,
+          .preferred = plan_.preferred,
+          .excluded = tried_endpoints_,
+          .prompt = plan_.prompt};
+}
+
 void EndpointCall::Attempt() {
+  const MonotonicTime now = context_.loop.Now();
+  const PermitQueue& queue = context_.waiting_calls.queue();
+  const bool others_first = queue.CountAhead(plan_.service, plan_.priority) > 0 &&
+                            context_.endpoints.ForecastPermit(MakeQuery(), now).has_value();
+  if (!others_first && TryAttempt()) {
+    return;
+  }
+  const auto forecast = context_.endpoints.ForecastPermit(MakeQuery(), now);
+  if (!forecast) {
+    FinishWithoutEndpoint();
+    return;
+  }
+  std::visit(Overloaded{[&](const WaitForPermit& wait) { Wait(wait, *forecast); },
+                        [&](const RefuseCall& refuse) { FinishRateLimited(refuse.retry_after); }},
+             queue.Decide(plan_.service, plan_.priority, *forecast, now, plan_.deadline));
+}
+
+void EndpointCall::Wait(const WaitForPermit& wait, const PermitForecast& forecast) {
+  const MonotonicTime now = context_.loop.Now();
+  LogRateLimited("waits", forecast.WaitFrom(now));
+  ticket_ = context_.waiting_calls.Add(plan_.service, plan_.priority, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    return self == nullptr || self->TryAttempt();
+  });
+  attempt_timer_ =
+      context_.loop.After(std::chrono::duration_cast<Duration>(wait.until - now), [this] {
+        const auto self = shared_from_this();
+        StopWaiting();
+        const auto current = context_.endpoints.ForecastPermit(MakeQuery(), context_.loop.Now());
+        FinishRateLimited(current ? current->WaitFrom(context_.loop.Now()) : Duration(0));
+      });
+}
+
+void EndpointCall::StopWaiting() {
+  if (ticket_) {
+    attempt_timer_.Cancel();
+    context_.waiting_calls.Remove(*std::exchange(ticket_, std::nullopt));
+  }
+}
+
+void EndpointCall::FinishRateLimited(Duration retry_after) {
+  LogRateLimited("refused", retry_after);
+  const auto retry_after_ms = std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
+  FinishLater(NotRun{.reason = NotRunReason::kRateLimited,
+                     .retry_after_ms = static_cast<std::uint32_t>(retry_after_ms)});
+}
+
+void EndpointCall::FinishWithoutEndpoint() {
+  FinishLater(NotRun{.reason = tried_endpoints_.empty() ? NotRunReason::kNoEndpoint
+                                                        : NotRunReason::kOverloaded});
+}
+
+void EndpointCall::FinishLater(const NotRun& not_run) {
+  const Outcome outcome = possible_runs_ == 0
+                              ? Outcome(not_run)
+                              : Outcome(Unknown{.reason = UnknownReason::kConnectionLost});
+  // Posted, so that no callback runs before Start returns.
+  context_.loop.Post([weak = weak_from_this(), outcome] {
+    if (const auto self = weak.lock()) {
+      self->Finish(outcome);
+    }
+  });
+}
+
+void EndpointCall::LogRateLimited(const std::string& decision, Duration expected) const {
+  context_.events.Write(
+      "rate_limited",
+      {{"id", plan_.id.value()},
+       {"service", plan_.service.value()},
+       {"decision", decision},
+       {"expected_ms", std::chrono::duration_cast<std::chrono::milliseconds>(expected).count()},
+       {"waiting_calls", static_cast<std::int64_t>(context_.waiting_calls.queue().size())},
+       {"limited_endpoints", static_cast<std::int64_t>(context_.endpoints.rate_limits().size())}});
+  context_.metrics
+      .GetCounter("acaciaspring_rate_limited_calls_total",
+                  "Calls that found all endpoints at their rate limits, by decision",
+                  {{"decision", decision}})
+      .Increment();
+}
+
+bool EndpointCall::TryAttempt() {
   const RegisteredEndpoint* endpoint =
-      context_.endpoints.Choose({.service = plan_.service,
-                                 .preferred = plan_.preferred,
-                                 .excluded = tried_endpoints_,
-                                 .prompt = plan_.prompt},
-                                context_.loop.Now(), context_.random);
+      context_.endpoints.Choose(MakeQuery(), context_.loop.Now(), context_.random);
   if (endpoint == nullptr) {
-    // Posted, so that no callback runs before Start returns.
-    const NotRunReason reason =
-        tried_endpoints_.empty() ? NotRunReason::kNoEndpoint : NotRunReason::kOverloaded;
-    const Outcome outcome = possible_runs_ == 0
-                                ? Outcome(NotRun{.reason = reason})
-                                : Outcome(Unknown{.reason = UnknownReason::kConnectionLost});
-    context_.loop.Post([weak = weak_from_this(), outcome] {
-      if (const auto self = weak.lock()) {
-        self->Finish(outcome);
-      }
-    });
-    return;
+    return false;
   }
+  StopWaiting();
   endpoint_ = endpoint->id;
   tried_endpoints_.push_back(endpoint->id);
   ++attempts_;
@@ -77,7 +151,7 @@
   in_flight_ = true;
   attempt_started_ = context_.loop.Now();
   events_ = 0;
-  context_.endpoints.OnStarted(endpoint_);
+  context_.endpoints.OnStarted(endpoint_, attempt_started_);
   if (plan_.kind == RequestKind::kIdempotent && possible_runs_ + 1 < plan_.max_attempts) {
     const auto remaining =
         std::chrono::duration_cast<Duration>(plan_.deadline - context_.loop.Now());
@@ -93,6 +167,7 @@
              const auto self = shared_from_this();
              OnDone(result);
            }});
+  return true;
 }
 
 net::HttpClientRequest EndpointCall::MakeRequest(const RegisteredEndpoint& endpoint) const {
@@ -148,15 +223,12 @@
                                                      {"text", std::string(text.substr(0, 64))}});
     return;
   }
+  if (!limit && rejected_) {
+    // Only a response to a request that was executed shows that there is no limit.
+    return;
+  }
   if (const auto change = context_.endpoints.OnRateLimit(endpoint_, limit, context_.loop.Now())) {
-    context_.events.Write(
-        "endpoint_limit",
-        {{"endpoint", endpoint_.value()},
-         {"per_second", FormatRateLimit(change->current)},
-         {"former_per_second", FormatRateLimit(change->former)},
-         {"own_attempts", static_cast<std::int64_t>(change->attempts)},
-         {"period_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(change->period).count()}});
+    LogRateLimitChange(context_.events, *change, "response");
   }
 }
 
@@ -358,6 +430,7 @@
     return;
   }
   done_ = true;
+  StopWaiting();
   deadline_timer_.Cancel();
   attempt_timer_.Cancel();
   const CallCallbacks callbacks = std::exchange(callbacks_, {});
@@ -369,6 +442,7 @@
     return;
   }
   done_ = true;
+  StopWaiting();
   deadline_timer_.Cancel();
   attempt_timer_.Cancel();
   if (http_call_ != nullptr) {
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,7 +49,18 @@
   const EndpointId& endpoint() const { return endpoint_; }
 
  private:
+  /// @brief Starts an attempt, waits for a permit, or ends the call.
   void Attempt();
+  /// @brief Starts an attempt if there is an endpoint for it.
+  bool TryAttempt();
+  EndpointQuery MakeQuery() const;
+  void Wait(const WaitForPermit& wait, const PermitForecast& forecast);
+  void StopWaiting();
+  void FinishRateLimited(Duration retry_after);
+  void FinishWithoutEndpoint();
+  /// @brief Ends the call without an attempt, after the current callback.
+  void FinishLater(const NotRun& not_run);
+  void LogRateLimited(const std::string& decision, Duration expected) const;
   net::HttpClientRequest MakeRequest(const RegisteredEndpoint& endpoint) const;
   void OnHead(int status, const net::Headers& headers);
   void ReadRateLimit(const net::Headers& headers);
@@ -81,6 +93,8 @@
   std::shared_ptr<net::HttpCall> http_call_;
   net::Timer deadline_timer_;
   net::Timer attempt_timer_;
+  /// Set while the call waits for a permit.
+  std::optional<PermitQueue::Ticket> ticket_;
   /// Attempts that an endpoint may have executed.
   std::uint32_t possible_runs_ = 0;
   /// All attempts, executed or not.
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <utility>
 
 namespace acaciaspring::gateway {
 
@@ -36,10 +35,17 @@
         known->second.description.started_at_ms == endpoint.started_at_ms &&
         known->second.description.address == endpoint.address) {
       entry = known->second;
+    } else {
+      limits_.RemoveEndpoint(id);
     }
     entry.description = std::move(endpoint);
     updated.insert_or_assign(id, std::move(entry));
   }
+  for (const auto& [id, entry] : endpoints_) {
+    if (!updated.contains(id)) {
+      limits_.RemoveEndpoint(id);
+    }
+  }
   endpoints_ = std::move(updated);
   UpdateServices();
 }
@@ -75,6 +81,7 @@
 
 void EndpointTable::SetEngineMemory(const ServiceId& service, TokenCount memory) {
   engine_memory_[service] = memory;
+  limits_.SetKeepsSessions(service, memory > TokenCount());
   if (const auto found = services_.find(service); found != services_.end()) {
     found->second.home_sets.SetMemory(memory);
   }
@@ -123,7 +130,22 @@
          static_cast<double>(std::max<std::uint32_t>(entry.description.slots, 1));
 }
 
-bool EndpointTable::Usable(const Entry& entry, const EndpointQuery& query) const {
+bool EndpointTable::Usable(const Entry& entry,
+                           const EndpointQuery& query,
+                           PermitUse use,
+                           MonotonicTime now) const {
+  const EndpointId& id = entry.description.id;
+  if (!Eligible(entry, query)) {
+    return false;
+  }
+  if (limits_.empty()) {
+    return true;
+  }
+  const bool any_permit = use == PermitUse::kAny || id == query.preferred || !IsEngine(entry);
+  return any_permit ? limits_.HasPermit(id, now) : limits_.HasSpare(id, now);
+}
+
+bool EndpointTable::Eligible(const Entry& entry, const EndpointQuery& query) {
   return entry.description.state == EndpointState::kReady &&
          std::find(query.excluded.begin(), query.excluded.end(), entry.description.id) ==
              query.excluded.end();
@@ -136,19 +158,25 @@
   if (service == services_.end()) {
     return nullptr;
   }
+  service->second.called_at = now;
   const bool by_prefix =
       query.prompt.shared_prefix.has_value() && !service->second.home_sets.AllPrefixesFit(now);
-  return by_prefix ? ChooseForPrompt(service->second, query, now, random)
-                   : ChooseByLoad(service->second, query, now, random);
+  const auto choose = [&](PermitUse use) {
+    return by_prefix ? ChooseForPrompt(service->second, query, use, now, random)
+                     : ChooseByLoad(service->second, query, use, now, random);
+  };
+  const RegisteredEndpoint* chosen = choose(PermitUse::kSpareForNewSessions);
+  return chosen != nullptr || limits_.empty() ? chosen : choose(PermitUse::kAny);
 }
 
 const RegisteredEndpoint* EndpointTable::ChooseByLoad(const ServiceEntry& service,
                                                       const EndpointQuery& query,
+                                                      PermitUse use,
                                                       MonotonicTime now,
                                                       std::mt19937_64& random) const {
   if (const auto preferred = endpoints_.find(query.preferred); preferred != endpoints_.end()) {
     const Entry& entry = preferred->second;
-    if (Usable(entry, query) && entry.description.service == query.service &&
+    if (Usable(entry, query, use, now) && entry.description.service == query.service &&
         entry.avoid_until <= now && Load(entry) < options_.max_sticky_load) {
       return &entry.description;
     }
@@ -157,7 +185,7 @@
   double best_score = 0;
   for (const EndpointId& id : service.endpoints) {
     const Entry& entry = endpoints_.at(id);
-    if (!Usable(entry, query)) {
+    if (!Usable(entry, query, use, now)) {
       continue;
     }
     // Jitter of up to one slot keeps daemons with the same view from choosing the same endpoint.
@@ -181,6 +209,7 @@
 
 const RegisteredEndpoint* EndpointTable::ChooseForPrompt(ServiceEntry& service,
                                                          const EndpointQuery& query,
+                                                         PermitUse use,
                                                          MonotonicTime now,
                                                          std::mt19937_64& random) {
   const PromptCosts& costs = options_.prompt;
@@ -195,7 +224,7 @@
   double best_cost = 0;
   for (std::size_t i = 0; i < service.endpoints.size(); ++i) {
     const Entry& entry = endpoints_.at(service.endpoints[i]);
-    if (!Usable(entry, query)) {
+    if (!Usable(entry, query, use, now)) {
       continue;
     }
     TokenCount uncached = query.prompt.tokens;
@@ -294,24 +323,50 @@
                                                           std::optional<double> per_second,
                                                           MonotonicTime now) {
   const auto found = endpoints_.find(endpoint);
-  if (found == endpoints_.end() || found->second.rate_limit == per_second) {
+  return found == endpoints_.end() ? std::nullopt
+                                   : limits_.OnResponse(found->second.description, per_second, now);
+}
+
+std::optional<RateLimitChange> EndpointTable::OnRateLimitReport(const RateLimitReport& report,
+                                                                MonotonicTime now) {
+  const auto found = endpoints_.find(report.endpoint);
+  return found == endpoints_.end() ? std::nullopt
+                                   : limits_.OnReport(found->second.description, report, now);
+}
+
+std::optional<PermitForecast> EndpointTable::ForecastPermit(const EndpointQuery& query,
+                                                            MonotonicTime now) const {
+  const auto service = services_.find(query.service);
+  if (service == services_.end() || limits_.empty()) {
     return std::nullopt;
   }
-  Entry& entry = found->second;
-  const RateLimitChange change{
-      .former = entry.rate_limit,
-      .current = per_second,
-      .attempts = std::exchange(entry.attempts_since_change, 0),
-      .period = std::chrono::duration_cast<Duration>(now - entry.rate_limit_changed_at)};
-  entry.rate_limit = per_second;
-  entry.rate_limit_changed_at = now;
-  return change;
+  PermitForecast forecast;
+  bool limited = false;
+  for (const EndpointId& id : service->second.endpoints) {
+    const RateLimit* limit = limits_.Find(id);
+    if (limit != nullptr && Eligible(endpoints_.at(id), query)) {
+      limited = true;
+      forecast.next_permit = std::min(forecast.next_permit, limit->NextPermit(now));
+      forecast.per_second += limit->base_per_second() * limit->share();
+    }
+  }
+  return limited ? std::optional(forecast) : std::nullopt;
+}
+
+std::set<ServiceId> EndpointTable::OwnDemand(MonotonicTime now) const {
+  std::set<ServiceId> services;
+  for (const auto& [id, service] : services_) {
+    if (service.called_at && now - *service.called_at <= options_.demand_validity) {
+      services.insert(id);
+    }
+  }
+  return services;
 }
 
-void EndpointTable::OnStarted(const EndpointId& endpoint) {
+void EndpointTable::OnStarted(const EndpointId& endpoint, MonotonicTime now) {
   if (const auto found = endpoints_.find(endpoint); found != endpoints_.end()) {
+    limits_.Take(endpoint, now);
     ++found->second.own_in_flight;
-    ++found->second.attempts_since_change;
     own_changes_ += IsEngine(found->second) ? 1 : 0;
   }
 }
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -9,6 +9,8 @@
 
 #include "acaciaspring/gateway.h"
 #include "acaciaspring/routing.h"
+#include "src/gateway/permit_queue.h"
+#include "src/gateway/rate_limits.h"
 
 namespace acaciaspring::gateway {
 
@@ -35,6 +37,8 @@
 };
 
 struct EndpointTableOptions {
+  /// This daemon.
+  DaemonId self = {};
   /// How long an endpoint is avoided after a failure; doubles with each consecutive one.
   Duration first_avoidance = std::chrono::milliseconds(250);
   Duration max_avoidance = std::chrono::seconds(4);
@@ -49,6 +53,9 @@
   /// Costs, in expected delay of a program, that the choice of an engine for a prompt compares.
   PromptCosts prompt = {};
   HomeSetOptions home_sets = {};
+  RateLimitsOptions rate_limits = {};
+  /// How long after its last call a service counts as called by this daemon.
+  Duration demand_validity = std::chrono::seconds(30);
 };
 
 struct EndpointQuery {
@@ -68,16 +75,6 @@
   std::uint32_t events = 0;
 };
 
-/// @brief A change of the rate limit that an endpoint names.
-struct RateLimitChange {
-  /// Requests per second; empty if the endpoint names no limit.
-  std::optional<double> former = {};
-  std::optional<double> current = {};
-  /// Own attempts since the former change, and the time since then.
-  std::uint64_t attempts = 0;
-  Duration period{};
-};
-
 /// @brief Result of an attempt, as far as it indicates the health of the endpoint.
 enum class AttemptResult : std::uint8_t {
   kSucceeded,
@@ -93,8 +90,10 @@
 /// call.
 class EndpointTable {
  public:
-  explicit EndpointTable(AvailabilityZone zone, EndpointTableOptions options = {})
-      : zone_(std::move(zone)), options_(options) {}
+  explicit EndpointTable(AvailabilityZone zone, const EndpointTableOptions& options = {})
+      : zone_(std::move(zone)),
+        options_(options),
+        limits_({.id = options.self, .zone = zone_}, options.rate_limits) {}
 
   void SetEndpoints(std::vector<RegisteredEndpoint> endpoints);
   /// @brief Sets the KV memory of each engine of a service.
@@ -115,12 +114,21 @@
   /// @brief Counts a new call as demand for its shared prefix.
   void OnDemand(const ServiceId& service, const SharedPrefix& prefix, MonotonicTime now);
   void OnStreamCompleted(const EndpointId& endpoint, const StreamTimes& times, MonotonicTime now);
-  /// @brief Records the limit that a response of the endpoint names, or that it names none.
-  /// Returns the change, if there is one.
+  /// @brief Applies the rate limit that a response of the endpoint names, or that it names none.
   std::optional<RateLimitChange> OnRateLimit(const EndpointId& endpoint,
                                              std::optional<double> per_second,
                                              MonotonicTime now);
-  void OnStarted(const EndpointId& endpoint);
+  /// @brief Applies the report of another daemon.
+  std::optional<RateLimitChange> OnRateLimitReport(const RateLimitReport& report,
+                                                   MonotonicTime now);
+  /// @brief When a permit is expected for a call that found no endpoint. Empty if rate limits are
+  /// not the reason.
+  std::optional<PermitForecast> ForecastPermit(const EndpointQuery& query, MonotonicTime now) const;
+  /// @brief Services that this daemon has called recently.
+  std::set<ServiceId> OwnDemand(MonotonicTime now) const;
+  RateLimits& rate_limits() { return limits_; }
+  const RateLimits& rate_limits() const { return limits_; }
+  void OnStarted(const EndpointId& endpoint, MonotonicTime now);
   void OnFinished(const EndpointId& endpoint, AttemptResult result, MonotonicTime now);
 
   std::size_t size() const { return endpoints_.size(); }
@@ -137,9 +145,13 @@
     double event_interval_us = 0;
     std::uint32_t streams_measured = 0;
     MonotonicTime interval_updated;
-    std::optional<double> rate_limit;
-    MonotonicTime rate_limit_changed_at;
-    std::uint64_t attempts_since_change = 0;
+  };
+  /// @brief Which permits of an engine's rate limit a call may use that has no session there.
+  enum class PermitUse : std::uint8_t {
+    /// Permits that the sessions at the engine do not need. A session that moved in with one of
+    /// their permits would move on at its next call, and each move reads its prompt again.
+    kSpareForNewSessions,
+    kAny,
   };
   struct ServiceEntry {
     std::vector<EndpointId> endpoints = {};
@@ -149,17 +161,26 @@
     double streaming_us = 0;
     double event_interval_us = 0;
     std::uint32_t calls_measured = 0;
+    /// When this daemon last looked for an endpoint.
+    std::optional<MonotonicTime> called_at = {};
     std::uint32_t streams_measured = 0;
   };
 
   double Load(const Entry& entry) const;
-  bool Usable(const Entry& entry, const EndpointQuery& query) const;
+  bool Usable(const Entry& entry,
+              const EndpointQuery& query,
+              PermitUse use,
+              MonotonicTime now) const;
+  /// @brief Usable apart from the rate limit.
+  static bool Eligible(const Entry& entry, const EndpointQuery& query);
   const RegisteredEndpoint* ChooseByLoad(const ServiceEntry& service,
                                          const EndpointQuery& query,
+                                         PermitUse use,
                                          MonotonicTime now,
                                          std::mt19937_64& random) const;
   const RegisteredEndpoint* ChooseForPrompt(ServiceEntry& service,
                                             const EndpointQuery& query,
+                                            PermitUse use,
                                             MonotonicTime now,
                                             std::mt19937_64& random);
   /// @brief Expected delay of a prompt on the endpoint, in microseconds, apart from reading it.
@@ -173,6 +194,7 @@
   /// Services with a usable endpoint.
   std::unordered_map<ServiceId, ServiceEntry> services_;
   std::unordered_map<ServiceId, TokenCount> engine_memory_;
+  RateLimits limits_;
   std::uint64_t own_changes_ = 0;
   std::unordered_map<DaemonId, InFlightCounts> remote_;
 };
--- a/src/gateway/endpoint_table_test.cc
+++ b/src/gateway/endpoint_table_test.cc
@@ -56,10 +56,10 @@
   table.SetEndpoints({MakeEndpoint("e"), tool});
   table.SetEngineMemory(kService, TokenCount(1000));
   table.SetEngineMemory(tool.service, TokenCount());
-  table.OnStarted(tool.id);
+  table.OnStarted(tool.id, kNow);
   BOOST_TEST(table.own_changes() == 0U);
   BOOST_TEST(table.OwnCounts().empty());
-  table.OnStarted(EndpointId("e"));
+  table.OnStarted(EndpointId("e"), kNow);
   BOOST_TEST(table.own_changes() == 1U);
   BOOST_TEST((table.OwnCounts() == InFlightCounts{{EndpointId("e"), 1}}));
 }
@@ -101,7 +101,7 @@
 // Guards against repeated calls to failed endpoints when a third of the engines stops at once.
 BOOST_AUTO_TEST_CASE(failed_endpoint_is_avoided) {
   table.SetEndpoints({MakeEndpoint("a"), MakeEndpoint("b", "far")});
-  table.OnStarted(EndpointId("a"));
+  table.OnStarted(EndpointId("a"), kNow);
   table.OnFinished(EndpointId("a"), AttemptResult::kFailed, kNow);
   BOOST_TEST(ChooseMany(10, {.service = kService, .preferred = EndpointId("a")})["b"] == 10);
   // With all other endpoints excluded, an avoided endpoint is better than none.
@@ -122,7 +122,7 @@
 // Guards against failures of an earlier run that count against an endpoint restarted under its id.
 BOOST_AUTO_TEST_CASE(restarted_endpoint_does_not_inherit_failures) {
   table.SetEndpoints({MakeEndpoint("a"), MakeEndpoint("b", "far")});
-  table.OnStarted(EndpointId("a"));
+  table.OnStarted(EndpointId("a"), kNow);
   table.OnFinished(EndpointId("a"), AttemptResult::kFailed, kNow);
   RegisteredEndpoint restarted = MakeEndpoint("a");
   restarted.started_at_ms = 5;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -12,6 +12,7 @@
 #include "src/gateway/endpoint_registry.h"
 #include "src/gateway/ownership.h"
 #include "src/gateway/peer_links.h"
+#include "src/gateway/rate_limit_exchange.h"
 #include "src/gateway/route_table.h"
 #include "src/gateway/turn_router.h"
 
@@ -41,6 +42,7 @@
 struct Gateway::Impl {
   Impl(net::Loop& loop, GatewayOptions options, ledger::PartitionStore& store)
       : context(loop, options),
+        rate_limits(context),
         ownership(context, store, [this] { OnOwnershipChanged(); }),
         router(context, ownership, [this] { return links.get(); }) {}
 
@@ -65,6 +67,7 @@
   void ReleasePartitions();
 
   Context context;
+  RateLimitExchange rate_limits;
   std::optional<Configuration> configuration;
   std::unique_ptr<RouteTable> routes;
   std::unordered_map<ServiceId, Service> services;
@@ -95,19 +98,32 @@
       PeerHandlers{
           .on_status =
               [this](const DaemonId& daemon, const PeerStatus& status) {
+                rate_limits.OnHeard(daemon);
                 context.endpoints.SetRemoteCounts(daemon, status.in_flight);
                 ownership.OnStatus(daemon, status);
                 router.RetryWaitingTurns();
               },
           .on_load =
               [this](const DaemonId& daemon, const PeerLoad& load) {
+                rate_limits.OnHeard(daemon);
                 context.endpoints.SetRemoteCounts(daemon, load.in_flight);
               },
+          .on_demand = [this](const DaemonId& daemon,
+                              const PeerDemand& demand) { rate_limits.OnDemand(daemon, demand); },
+          .on_rate_limits =
+              [this](const DaemonId& daemon, const PeerRateLimits& limits) {
+                rate_limits.OnReports(daemon, limits);
+              },
           .on_message =
               [this](const DaemonId& daemon, PeerMessage message, const ReplyFunction& reply) {
                 router.OnMessage(daemon, std::move(message), reply);
               },
-          .on_connected = [this](const DaemonId& daemon) { links->Send(daemon, MakeStatus()); },
+          .on_connected =
+              [this](const DaemonId& daemon) {
+                links->Send(daemon, MakeStatus());
+                rate_limits.Greet(
+                    [&](const PeerMessage& message) { links->Send(daemon, message); });
+              },
           .on_disconnected =
               [this](const DaemonId& daemon) {
                 context.events.Write("peer_lost", {{"peer", daemon.value()}});
@@ -127,6 +143,7 @@
 void Gateway::Impl::ScheduleHeartbeat() {
   heartbeat = context.loop.After(links->HeartbeatPeriod(), [this] {
     links->Heartbeat(MakeStatus());
+    rate_limits.Update([this](const PeerMessage& message) { links->SendToAll(message); });
     ScheduleHeartbeat();
   });
 }
@@ -373,6 +390,7 @@
 
 void Gateway::SetMembers(std::vector<Member> members) {
   impl_->members = std::move(members);
+  impl_->rate_limits.SetMembers(impl_->members);
   if (impl_->links != nullptr) {
     impl_->links->SetMembers(impl_->members);
   }
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -96,6 +96,14 @@
     handlers_.on_load(id, *load);
     return;
   }
+  if (const auto* demand = std::get_if<PeerDemand>(&*message)) {
+    handlers_.on_demand(id, *demand);
+    return;
+  }
+  if (const auto* limits = std::get_if<PeerRateLimits>(&*message)) {
+    handlers_.on_rate_limits(id, *limits);
+    return;
+  }
   handlers_.on_message(id, std::move(*message),
                        [weak = std::weak_ptr<Incoming>(incoming)](const PeerMessage& reply) {
                          if (const auto live = weak.lock()) {
@@ -195,6 +203,15 @@
   return true;
 }
 
+void PeerLinks::SendToAll(const PeerMessage& message) {
+  const std::string payload = EncodePeerMessage(message);
+  for (const auto& [id, link] : outgoing_) {
+    if (IsOpen(id)) {
+      link.connection->Send(payload);
+    }
+  }
+}
+
 bool PeerLinks::IsOpen(const DaemonId& daemon) const {
   const auto found = outgoing_.find(daemon);
   return found != outgoing_.end() && found->second.connection != nullptr &&
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -22,6 +22,8 @@
 struct PeerHandlers {
   std::function<void(const DaemonId&, const PeerStatus&)> on_status = {};
   std::function<void(const DaemonId&, const PeerLoad&)> on_load = {};
+  std::function<void(const DaemonId&, const PeerDemand&)> on_demand = {};
+  std::function<void(const DaemonId&, const PeerRateLimits&)> on_rate_limits = {};
   /// Called for all other messages.
   std::function<void(const DaemonId&, PeerMessage, const ReplyFunction&)> on_message = {};
   /// The connection to the daemon opened.
@@ -46,6 +48,8 @@
   void SetMembers(const std::vector<Member>& members);
   /// @brief Returns false if there is no open connection.
   bool Send(const DaemonId& daemon, const PeerMessage& message);
+  /// @brief Sends a message to all daemons with an open connection.
+  void SendToAll(const PeerMessage& message);
   bool IsOpen(const DaemonId& daemon) const;
   /// @brief Sends a status to the daemons whose heartbeat is due and closes the connections to
   /// those that have been silent.
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -57,6 +57,24 @@
   }
 };
 
+/// @brief Sent to all daemons when the services that the sender calls change.
+struct PeerDemand {
+  std::vector<ServiceId> services = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(services);
+  }
+};
+
+/// @brief Sent to all daemons when the rate limits that endpoints name change.
+struct PeerRateLimits {
+  std::vector<RateLimitReport> reports = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(reports);
+  }
+};
+
 /// @brief Asks the owner of a program to run a turn. The sender has already chosen route and
 /// service, so the daemons may have different configuration versions.
 struct TurnRequest {
@@ -204,7 +222,9 @@
                                  ChainReply,
                                  CommitRequest,
                                  CommitReply,
-                                 PeerLoad>;
+                                 PeerLoad,
+                                 PeerDemand,
+                                 PeerRateLimits>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError if the message is malformed.
--- a/src/gateway/response_sink.cc
+++ b/src/gateway/response_sink.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/response_sink.h"
 
+#include <algorithm>
+
 namespace acaciaspring::gateway {
 
 namespace {
@@ -14,8 +16,12 @@
   const std::string reason(ReasonName(outcome));
   return std::visit(
       Overloaded{[&](const Completed&) { return HttpError{.status = 502, .reason = "no_answer"}; },
-                 [&](const NotRun&) {
-                   return HttpError{.status = 503, .reason = reason, .retry_after = kRetryAfter};
+                 [&](const NotRun& not_run) {
+                   return HttpError{
+                       .status = 503,
+                       .reason = reason,
+                       .retry_after = std::max<Duration>(
+                           kRetryAfter, std::chrono::milliseconds(not_run.retry_after_ms))};
                  },
                  [&](const Failed&) { return HttpError{.status = 502, .reason = reason}; },
                  [&](const Unknown& unknown) {
--- a/src/gateway/shared_prompt_load_test.cc
+++ b/src/gateway/shared_prompt_load_test.cc
@@ -155,7 +155,7 @@
       table.OnDemand(kService, prefix, Now());
     }
     const RegisteredEndpoint* chosen = table.Choose(query, Now(), random_);
-    table.OnStarted(chosen->id);
+    table.OnStarted(chosen->id, Now());
     call.engine = std::stoul(chosen->id.value().substr(1));
     Engine& engine = engines_[call.engine];
     engine.waiting.push_back(call);
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -245,7 +245,8 @@
                            PeerMessage message,
                            const ReplyFunction& reply) {
   std::visit(
-      Overloaded{[](PeerHello&) {}, [](PeerStatus&) {}, [](PeerLoad&) {},
+      Overloaded{[](PeerHello&) {}, [](PeerStatus&) {}, [](PeerLoad&) {}, [](PeerDemand&) {},
+                 [](PeerRateLimits&) {},
                  [&](TurnRequest& request) { OnTurnRequest(daemon, std::move(request), reply); },
                  [&](TurnHead& head) {
                    if (SubmittedTurn* turn = FindRemote(head.exchange, daemon)) {
