--- a/include/acaciaspring/wire.h
+++ b/include/acaciaspring/wire.h
@@ -148,6 +148,10 @@
 
 enum class Direction : std::uint8_t { kToAcceptor, kToInitiator };
 
+/// @brief First 64 bits of the HMAC-SHA256 of the data. Whoever does not know the key cannot find
+/// two inputs with the same hash.
+std::uint64_t KeyedHash64(std::string_view key, std::string_view data);
+
 /// @brief Authenticates the frames of one direction of a connection. The MAC is HMAC-SHA256 over a
 /// frame counter and the payload, truncated to 16 bytes; its key is derived from the cluster key,
 /// the nonces of both sides and the direction. Frames cannot be forged, replayed or reordered.
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -2,6 +2,7 @@
 #define ACACIASPRING_SRC_GATEWAY_CONTEXT_H_
 
 #include <random>
+#include <string>
 
 #include "acaciaspring/gateway.h"
 #include "acaciaspring/telemetry.h"
@@ -27,6 +28,8 @@
   EndpointTable endpoints;
   WaitingCalls waiting_calls;
   std::mt19937_64 random;
+  /// Secret of the cluster, for the fingerprints of requests.
+  std::string fingerprint_key;
   telemetry::EventLog events;
   telemetry::Registry metrics;
 };
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -406,9 +406,19 @@
   Finish(outcome);
 }
 
+RequestFingerprint EndpointCall::Fingerprint() const {
+  return MakeFingerprint(context_.fingerprint_key,
+                         {.credentials = net::FindHeader(plan_.headers, "authorization"),
+                          .method = plan_.method,
+                          .host = net::FindHeader(plan_.headers, "host"),
+                          .target = plan_.target,
+                          .body = std::string_view(plan_.body).substr(plan_.added_bytes)});
+}
+
 void EndpointCall::LogAttempt(AttemptResult result) const {
   context_.events.Write("attempt_failed",
                         {{"id", plan_.id.value()},
+                         {"fingerprint", ToString(Fingerprint())},
                          {"endpoint", endpoint_.value()},
                          {"why", result == AttemptResult::kRejected ? "not_executed" : "failed"},
                          {"status", static_cast<std::int64_t>(status_)},
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/gateway/context.h"
+#include "src/gateway/request_fingerprint.h"
 
 namespace acaciaspring::gateway {
 
@@ -22,6 +23,8 @@
   std::string target = {};
   net::Headers headers = {};
   std::string body = {};
+  /// Bytes at the start of the body that were added to the caller's.
+  std::size_t added_bytes = 0;
   MonotonicTime deadline = {};
   /// Endpoint that probably has the prompt's prefix cached; may be empty.
   EndpointId preferred = {};
@@ -79,6 +82,7 @@
   void RetryOrFinish(const Outcome& outcome);
   void EndAttempt(AttemptResult result);
   void LogAttempt(AttemptResult result) const;
+  RequestFingerprint Fingerprint() const;
   void StartDelivery();
   void MeasureStream(std::string_view data);
   void Finish(const Outcome& outcome);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -93,6 +93,7 @@
 
 void Gateway::Impl::JoinCluster(const std::string& cluster_key,
                                 std::function<void(const Member&)> on_member_exited) {
+  context.fingerprint_key = cluster_key;
   links = std::make_unique<PeerLinks>(
       context, cluster_key,
       PeerHandlers{
--- /dev/null
+++ b/src/gateway/request_fingerprint.h
@@ -0,0 +1,36 @@
+#ifndef ACACIASPRING_SRC_GATEWAY_REQUEST_FINGERPRINT_H_
+#define ACACIASPRING_SRC_GATEWAY_REQUEST_FINGERPRINT_H_
+
+#include <string>
+#include <string_view>
+
+#include "acaciaspring/base.h"
+
+namespace acaciaspring::gateway {
+
+/// @brief Identifies the content of a request. The same request has the same fingerprint whenever
+/// it is sent again, under any request id and at any daemon.
+using RequestFingerprint = StrongNumber<struct RequestFingerprintTag>;
+
+/// @brief What makes two requests the same.
+struct RequestContent {
+  /// With other credentials it is the request of another caller, and another request. An address
+  /// does not identify a caller: many share one, and one has several.
+  std::string_view credentials = {};
+  std::string_view method = {};
+  std::string_view host = {};
+  /// Path and query.
+  std::string_view target = {};
+  /// Body as the caller sent it, without the earlier turns of its chain.
+  std::string_view body = {};
+};
+
+/// @brief The fingerprint under a key that only the daemons know, so that nobody can make a request
+/// with the fingerprint of another one.
+RequestFingerprint MakeFingerprint(std::string_view key, const RequestContent& content);
+/// @brief 16 hexadecimal digits.
+std::string ToString(RequestFingerprint fingerprint);
+
+}  // namespace acaciaspring::gateway
+
+#endif  // ACACIASPRING_SRC_GATEWAY_REQUEST_FINGERPRINT_H_
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -91,6 +91,7 @@
                 .target = request_.target,
                 .headers = request_.headers,
                 .body = chain_body_ + request_.body,
+                .added_bytes = chain_body_.size(),
                 .deadline = deadline_ - kCallMargin,
                 .preferred = dependencies_.preferred_endpoint(request_.program),
                 .prompt = request_.prompt};
--- a/src/wire/authentication.cc
+++ b/src/wire/authentication.cc
@@ -26,6 +26,14 @@
 
 }  // namespace
 
+std::uint64_t KeyedHash64(std::string_view key, std::string_view data) {
+  std::uint64_t hash = 0;
+  for (const char byte : Hmac(key, data).substr(0, sizeof(hash))) {
+    hash = hash << 8 | static_cast<unsigned char>(byte);
+  }
+  return hash;
+}
+
 Nonce MakeNonce() {
   Nonce nonce{};
   if (RAND_bytes(reinterpret_cast<unsigned char*>(nonce.data()), static_cast<int>(nonce.size())) !=
