--- /dev/null
+++ b/src/gateway/crashing_request_test.cc
@@ -0,0 +1,107 @@
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/gateway/endpoint_call.h"
+#include "src/net/test_support.h"
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+constexpr std::size_t kEndpoints = 10;
+// The stated target: a request that has crashed three endpoints is not sent again.
+constexpr std::size_t kMaxCrashes = 3;
+const ServiceId kService("service");
+
+/// @brief Endpoints that crash when they get the request with the body "deadly".
+struct Fixture {
+  Fixture()
+      : context(loop,
+                {.self = {.id = DaemonId("self")},
+                 .headers = {.request_id = "x-id",
+                             .deadline_ms = "x-deadline",
+                             .expected_endpoint = "x-endpoint",
+                             .priority = "x-priority",
+                             .not_executed = "x-not-executed",
+                             .rate_limit = "x-limit"}}) {
+    std::vector<RegisteredEndpoint> endpoints;
+    for (std::size_t i = 0; i < kEndpoints; ++i) {
+      servers.push_back(std::make_unique<net::HttpServer>(
+          loop, net::HttpServerOptions{.listen = net::kAnyLoopbackPort},
+          [this, i](const net::HttpRequest& request, const net::HttpResponderPtr& responder) {
+            if (request.body == "deadly") {
+              // Not from within the server's own callback.
+              loop.Post([this, i] { servers[i].reset(); });
+            } else if (request.body == "held") {
+              held.push_back(responder);
+            } else if (request.body == "lost") {
+              responder->Abort();
+            } else {
+              responder->Respond(200, {}, "");
+            }
+          }));
+      endpoints.push_back({.id = EndpointId("e" + std::to_string(i)),
+                           .service = kService,
+                           .address = servers.back()->address(),
+                           .slots = 8});
+    }
+    context.endpoints.SetEndpoints(endpoints);
+  }
+
+  void Call(const std::string& body, RequestKind kind = RequestKind::kAtMostOnce) {
+    const std::size_t index = calls.size();
+    outcomes.emplace_back();
+    calls.push_back(std::make_shared<EndpointCall>(
+        context,
+        CallPlan{.id = RequestId("r" + std::to_string(index)),
+                 .service = kService,
+                 .kind = kind,
+                 .max_attempts = 1,
+                 .method = "POST",
+                 .target = "/",
+                 .body = body,
+                 .deadline = loop.Now() + std::chrono::hours(1)},
+        CallCallbacks{.on_head = [](int, const net::Headers&) {},
+                      .on_data = [](std::string_view) {},
+                      .on_done = [this, index](const Outcome& done) { outcomes[index] = done; }}));
+    calls.back()->Start();
+  }
+  const Outcome& CallAndWait(const std::string& body) {
+    Call(body);
+    net::RunUntil(loop, [this] { return outcomes.back().has_value(); });
+    // Lets the daemon find out what became of the endpoint.
+    net::RunUntil(loop, [this, turns = 0]() mutable { return ++turns > 20; });
+    return *outcomes.back();
+  }
+  std::size_t Crashed() const {
+    return static_cast<std::size_t>(std::count_if(
+        servers.begin(), servers.end(), [](const auto& server) { return server == nullptr; }));
+  }
+
+  net::Loop loop;
+  std::vector<std::unique_ptr<net::HttpServer>> servers;
+  std::vector<net::HttpResponderPtr> held;
+  Context context;
+  std::vector<std::shared_ptr<EndpointCall>> calls;
+  std::vector<std::optional<Outcome>> outcomes;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(crashing_request, Fixture)
+
+// Guards against one request that crashes endpoint after endpoint, because it comes again under a
+// new id each time.
+BOOST_AUTO_TEST_CASE(request_that_crashes_endpoints_is_not_sent_again) {
+  for (int i = 0; i < 8; ++i) {
+    CallAndWait("deadly");
+  }
+  BOOST_TEST(Crashed() <= kMaxCrashes);
+  BOOST_TEST(std::holds_alternative<NotRun>(*outcomes.back()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::gateway
