--- a/include/acaciaspring/base.h
+++ b/include/acaciaspring/base.h
@@ -129,6 +129,8 @@
   kKeyConflict,
   kInvalidRequest,
   kCancelled,
+  /// The request has crashed several endpoints.
+  kCrashesEndpoints,
 };
 
 /// @brief Why a call ended with a definite failure after it had started.
--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -343,6 +343,35 @@
   std::function<void()> on_closed = {};
 };
 
+enum class ConnectResult : std::uint8_t {
+  kAccepted,
+  /// No process listens at the address.
+  kRefused,
+  /// No response in time, or another error.
+  kNoAnswer,
+};
+
+/// @brief Opens a TCP connection to see whether a process listens at an address, and closes it.
+class ConnectCheck {
+ public:
+  using OnDone = std::function<void(ConnectResult)>;
+  /// @brief Throws AddressError if the ip is not an IPv4 address. `on_done` is called from the
+  /// loop, unless the check is deleted before.
+  ConnectCheck(Loop& loop, const Address& address, Duration timeout, OnDone on_done);
+  ~ConnectCheck();
+  ConnectCheck(const ConnectCheck&) = delete;
+  ConnectCheck& operator=(const ConnectCheck&) = delete;
+
+ private:
+  struct Handles;
+  void CloseHandles();
+  void Finish(ConnectResult result);
+
+  OnDone on_done_;
+  Timer timer_;
+  Handles* handles_;
+};
+
 /// @brief Starts a connection. Messages sent before on_open are queued. `drops` must outlive the
 /// connection.
 PeerConnectionPtr ConnectPeer(Loop& loop,
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -42,6 +42,8 @@
       return "invalid_request";
     case NotRunReason::kCancelled:
       return "cancelled";
+    case NotRunReason::kCrashesEndpoints:
+      return "crashes_endpoints";
   }
   return "invalid";
 }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -6,6 +6,7 @@
 
 #include "acaciaspring/gateway.h"
 #include "acaciaspring/telemetry.h"
+#include "src/gateway/crash_monitor.h"
 #include "src/gateway/endpoint_table.h"
 #include "src/gateway/waiting_calls.h"
 
@@ -32,6 +33,7 @@
   std::string fingerprint_key;
   telemetry::EventLog events;
   telemetry::Registry metrics;
+  CrashMonitor crashes{loop, events, metrics};
 };
 
 }  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/crash_evidence.cc
@@ -0,0 +1,139 @@
+#include "src/gateway/crash_evidence.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace acaciaspring::gateway {
+
+void CrashEvidence::Add(const CrashReport& report, MonotonicTime now) {
+  const MonotonicTime at = now - std::max(Duration(report.age_us), Duration(0));
+  if (at + options_.validity <= now) {
+    return;
+  }
+  const auto [crash, is_new] = crashes_.try_emplace({report.endpoint, report.started_at_ms});
+  crash->second.at = is_new ? at : std::min(crash->second.at, at);
+  for (const LostRequest& lost : report.requests) {
+    if (crash->second.requests.size() < options_.max_requests_per_crash) {
+      crash->second.requests[lost.request] |= lost.unanswered;
+    }
+  }
+  if (crashes_.size() > options_.max_crashes) {
+    crashes_.erase(std::min_element(
+        crashes_.begin(), crashes_.end(),
+        [](const auto& left, const auto& right) { return left.second.at < right.second.at; }));
+  }
+  Update();
+}
+
+std::set<RequestFingerprint> CrashEvidence::Quarantined() const {
+  std::set<RequestFingerprint> requests;
+  for (const auto& [request, suspect] : quarantined_) {
+    requests.insert(request);
+  }
+  return requests;
+}
+
+bool CrashEvidence::Clear(RequestFingerprint request) {
+  std::size_t erased = 0;
+  for (auto& [run, crash] : crashes_) {
+    erased += crash.requests.erase(request);
+  }
+  if (erased > 0) {
+    Update();
+  }
+  return erased > 0;
+}
+
+void CrashEvidence::Expire(MonotonicTime now) {
+  const std::size_t erased = std::erase_if(
+      crashes_, [&](const auto& crash) { return now - crash.second.at >= options_.validity; });
+  if (erased > 0) {
+    Update();
+  }
+}
+
+bool CrashEvidence::HasCrash(const EndpointId& endpoint, std::int64_t started_at_ms) const {
+  return crashes_.contains({endpoint, started_at_ms});
+}
+
+std::map<RequestFingerprint, CrashEvidence::Suspect> CrashEvidence::CountCrashes() const {
+  std::map<RequestFingerprint, Suspect> suspects;
+  for (const auto& [run, crash] : crashes_) {
+    for (const auto& [request, unanswered] : crash.requests) {
+      Suspect& suspect = suspects[request];
+      ++suspect.crashes;
+      suspect.unanswered += unanswered ? 1 : 0;
+      suspect.last_crash_at = std::max(suspect.last_crash_at, crash.at);
+    }
+  }
+  return suspects;
+}
+
+void CrashEvidence::Update() {
+  quarantined_.clear();
+  const auto suspects = CountCrashes();
+  // The request with the most crashes explains these; other requests on the same endpoints were
+  // only beside it.
+  std::vector<const Crash*> unexplained;
+  for (const auto& [run, crash] : crashes_) {
+    unexplained.push_back(&crash);
+  }
+  while (true) {
+    std::map<RequestFingerprint, std::size_t> counts;
+    for (const Crash* crash : unexplained) {
+      for (const auto& [request, unanswered] : crash->requests) {
+        ++counts[request];
+      }
+    }
+    // Among requests that were lost together each time, one that had no answer yet is more likely
+    // to be the cause. If the choice is wrong, the next crash of the right one corrects it.
+    const auto rank = [&](const auto& count) {
+      const Suspect& suspect = suspects.at(count.first);
+      return std::make_tuple(count.second, suspect.crashes, suspect.unanswered, count.first);
+    };
+    const auto worst = std::max_element(
+        counts.begin(), counts.end(),
+        [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
+    if (worst == counts.end() || worst->second < options_.crashes_to_quarantine) {
+      return;
+    }
+    const RequestFingerprint request = worst->first;
+    quarantined_[request] = suspects.at(request);
+    std::erase_if(unexplained,
+                  [&](const Crash* crash) { return crash->requests.contains(request); });
+  }
+}
+
+std::optional<Quarantine> CrashEvidence::Find(RequestFingerprint request, MonotonicTime now) const {
+  const auto found = quarantined_.find(request);
+  if (found == quarantined_.end()) {
+    return std::nullopt;
+  }
+  const MonotonicTime end = found->second.last_crash_at + options_.validity;
+  if (end <= now) {
+    return std::nullopt;
+  }
+  return Quarantine{.crashes = found->second.crashes,
+                    .remaining = std::chrono::duration_cast<Duration>(end - now)};
+}
+
+std::vector<CrashReport> CrashEvidence::MakeReports(MonotonicTime now) const {
+  const auto suspects = CountCrashes();
+  std::vector<CrashReport> reports;
+  for (const auto& [run, crash] : crashes_) {
+    CrashReport report{.endpoint = run.first,
+                       .started_at_ms = run.second,
+                       .age_us = std::chrono::duration_cast<Duration>(now - crash.at).count()};
+    for (const auto& [request, unanswered] : crash.requests) {
+      if (suspects.at(request).crashes > 1) {
+        report.requests.push_back({.request = request, .unanswered = unanswered});
+      }
+    }
+    if (!report.requests.empty()) {
+      reports.push_back(std::move(report));
+    }
+  }
+  return reports;
+}
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/crash_evidence_test.cc
@@ -0,0 +1,152 @@
+#include "src/gateway/crash_evidence.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+constexpr MonotonicTime kStart{std::chrono::seconds(1000)};
+constexpr RequestFingerprint kDeadly{100};
+constexpr RequestFingerprint kOther{200};
+
+MonotonicTime After(int seconds) {
+  return kStart + std::chrono::seconds(seconds);
+}
+
+struct Fixture {
+  /// @brief Reports the crash of run `number` with unanswered requests.
+  void Crash(int number, const std::vector<RequestFingerprint>& requests, int at_second = 0) {
+    CrashReport report{.endpoint = EndpointId("e" + std::to_string(number)), .started_at_ms = 1};
+    for (const RequestFingerprint request : requests) {
+      report.requests.push_back({.request = request, .unanswered = true});
+    }
+    evidence.Add(report, After(at_second));
+  }
+  bool IsQuarantined(RequestFingerprint request, int at_second = 0) const {
+    return evidence.Find(request, After(at_second)).has_value();
+  }
+
+  CrashEvidence evidence;
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(crash_evidence, Fixture)
+
+// Guards against a request that crashes a fourth endpoint, and against a request that is refused
+// after fewer crashes.
+BOOST_AUTO_TEST_CASE(third_crash_quarantines) {
+  Crash(1, {kDeadly});
+  Crash(2, {kDeadly});
+  BOOST_TEST(!IsQuarantined(kDeadly));
+  Crash(3, {kDeadly});
+  BOOST_TEST(IsQuarantined(kDeadly));
+  BOOST_TEST(evidence.Find(kDeadly, kStart)->crashes == 3U);
+}
+
+// Guards against one crash that counts several times, because several daemons had requests there.
+BOOST_AUTO_TEST_CASE(reports_of_one_crash_count_once) {
+  for (int report = 0; report < 5; ++report) {
+    Crash(1, {kDeadly});
+  }
+  BOOST_TEST(!IsQuarantined(kDeadly));
+  // A new run of the endpoint under the same id is another endpoint.
+  evidence.Add(
+      {.endpoint = EndpointId("e1"), .started_at_ms = 2, .requests = {{.request = kDeadly}}},
+      kStart);
+  Crash(2, {kDeadly});
+  BOOST_TEST(IsQuarantined(kDeadly));
+}
+
+// Guards against innocent requests that are refused because they were lost beside deadly ones.
+BOOST_AUTO_TEST_CASE(crashes_that_are_explained_do_not_count) {
+  constexpr RequestFingerprint kSecond{300};
+  Crash(1, {kDeadly, kOther});
+  Crash(2, {kDeadly});
+  Crash(3, {kDeadly});
+  Crash(4, {kSecond, kOther});
+  Crash(5, {kSecond});
+  Crash(6, {kSecond});
+  Crash(7, {kDeadly, kOther});
+  BOOST_TEST(IsQuarantined(kDeadly));
+  BOOST_TEST(IsQuarantined(kSecond));
+  BOOST_TEST(!IsQuarantined(kOther));
+}
+
+// Guards against the wrong one of two requests that were lost together, and against one that stays
+// refused after a further crash shows the right one.
+BOOST_AUTO_TEST_CASE(unanswered_request_is_the_likelier_cause) {
+  for (int number = 1; number <= 3; ++number) {
+    evidence.Add({.endpoint = EndpointId("e" + std::to_string(number)),
+                  .started_at_ms = 1,
+                  .requests = {{.request = kOther, .unanswered = number > 1},
+                               {.request = kDeadly, .unanswered = true}}},
+                 kStart);
+  }
+  BOOST_TEST(IsQuarantined(kDeadly));
+  BOOST_TEST(!IsQuarantined(kOther));
+  Crash(4, {kOther});
+  BOOST_TEST(IsQuarantined(kOther));
+  BOOST_TEST(!IsQuarantined(kDeadly));
+}
+
+// Guards against requests that stay under suspicion although they have been executed.
+BOOST_AUTO_TEST_CASE(completed_request_is_cleared) {
+  Crash(1, {kOther});
+  Crash(2, {kOther});
+  BOOST_TEST(evidence.Clear(kOther));
+  Crash(3, {kOther});
+  BOOST_TEST(!IsQuarantined(kOther));
+  BOOST_TEST(!evidence.Clear(kDeadly));
+}
+
+// Guards against requests that are refused forever.
+BOOST_AUTO_TEST_CASE(quarantine_ends) {
+  for (int number = 1; number <= 3; ++number) {
+    Crash(number, {kDeadly}, number);
+  }
+  BOOST_TEST(IsQuarantined(kDeadly, 299));
+  BOOST_TEST((evidence.Find(kDeadly, After(3))->remaining == std::chrono::minutes(5)));
+  BOOST_TEST(!IsQuarantined(kDeadly, 303));
+  evidence.Expire(After(303));
+  BOOST_TEST(evidence.empty());
+}
+
+// Guards against memory that grows with the number of crashes or of requests on one endpoint.
+BOOST_AUTO_TEST_CASE(evidence_is_bounded) {
+  std::vector<RequestFingerprint> many;
+  for (std::uint64_t i = 0; i < 10'000; ++i) {
+    many.emplace_back(1000 + i);
+  }
+  Crash(0, many);
+  BOOST_TEST(!IsQuarantined(RequestFingerprint(1000)));
+  for (int number = 1; number <= 1000; ++number) {
+    Crash(number, {RequestFingerprint(static_cast<std::uint64_t>(50'000 + number))}, number / 10);
+  }
+  BOOST_TEST(!evidence.HasCrash(EndpointId("e0"), 1));
+  BOOST_TEST(!evidence.HasCrash(EndpointId("e500"), 1));
+  BOOST_TEST(evidence.HasCrash(EndpointId("e1000"), 1));
+}
+
+// Guards against a daemon that restarts and lets through what its peers refuse.
+BOOST_AUTO_TEST_CASE(new_daemon_learns_from_reports) {
+  for (int number = 1; number <= 3; ++number) {
+    Crash(number, {kDeadly, RequestFingerprint(static_cast<std::uint64_t>(number))}, number);
+  }
+  CrashEvidence restarted;
+  std::size_t requests = 0;
+  for (const CrashReport& report : evidence.MakeReports(After(10))) {
+    requests += report.requests.size();
+    restarted.Add(report, After(10));
+  }
+  BOOST_TEST(restarted.Find(kDeadly, After(10)).has_value());
+  // Requests with a single crash are not worth a message.
+  BOOST_TEST(requests == 3U);
+  BOOST_TEST((restarted.Find(kDeadly, After(10))->remaining ==
+              evidence.Find(kDeadly, After(10))->remaining));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::gateway
--- /dev/null
+++ b/src/gateway/crash_monitor.cc
@@ -0,0 +1,106 @@
+#include "src/gateway/crash_monitor.h"
+
+#include <utility>
+
+namespace acaciaspring::gateway {
+
+namespace {
+
+// A process that has ended refuses connections within a round trip; a host that is cut off does not
+// answer at all.
+constexpr Duration kCheckTimeout = std::chrono::milliseconds(300);
+
+}  // namespace
+
+void CrashMonitor::OnInterrupted(const RegisteredEndpoint& endpoint, const LostRequest& lost) {
+  const RunKey run{endpoint.id, endpoint.started_at_ms};
+  if (evidence_.HasCrash(run.first, run.second)) {
+    Report(run, {lost});
+    return;
+  }
+  Check& check = checks_[run];
+  check.requests.push_back(lost);
+  if (check.connect == nullptr) {
+    check.connect = std::make_unique<net::ConnectCheck>(
+        loop_, endpoint.address, kCheckTimeout,
+        [this, run](net::ConnectResult result) { OnChecked(run, result); });
+  }
+}
+
+void CrashMonitor::OnChecked(const RunKey& run, net::ConnectResult result) {
+  auto checked = checks_.extract(run);
+  if (result == net::ConnectResult::kRefused) {
+    Report(run, std::move(checked.mapped().requests));
+  }
+}
+
+void CrashMonitor::Report(const RunKey& run, std::vector<LostRequest> requests) {
+  CrashReport report{
+      .endpoint = run.first, .started_at_ms = run.second, .requests = std::move(requests)};
+  AddReport(report, "self");
+  if (send_) {
+    send_({.crashes = {std::move(report)}});
+  }
+}
+
+void CrashMonitor::AddReport(const CrashReport& report, const std::string& source) {
+  evidence_.Add(report, loop_.Now());
+  events_.Write("endpoint_crashed",
+                {{"endpoint", report.endpoint.value()},
+                 {"started_at_ms", report.started_at_ms},
+                 {"requests", static_cast<std::int64_t>(report.requests.size())},
+                 {"source", source},
+                 {"age_ms", report.age_us / 1000}});
+  LogChanges(source);
+}
+
+void CrashMonitor::OnCompleted(RequestFingerprint request) {
+  if (evidence_.Clear(request)) {
+    LogChanges("self");
+    if (send_) {
+      send_({.cleared = {request}});
+    }
+  }
+}
+
+void CrashMonitor::OnReports(const DaemonId& daemon, const PeerCrashReports& reports) {
+  for (const CrashReport& report : reports.crashes) {
+    AddReport(report, daemon.value());
+  }
+  for (const RequestFingerprint request : reports.cleared) {
+    evidence_.Clear(request);
+  }
+  LogChanges(daemon.value());
+}
+
+void CrashMonitor::Expire() {
+  evidence_.Expire(loop_.Now());
+  LogChanges("expired");
+}
+
+void CrashMonitor::LogChanges(const std::string& source) {
+  const std::set<RequestFingerprint> former = std::exchange(logged_, evidence_.Quarantined());
+  const auto log = [&](const char* event, RequestFingerprint request) {
+    const auto quarantine = evidence_.Find(request, loop_.Now());
+    events_.Write(event,
+                  {{"fingerprint", ToString(request)},
+                   {"crashes", static_cast<std::int64_t>(quarantine ? quarantine->crashes : 0)},
+                   {"source", source}});
+  };
+  for (const RequestFingerprint request : logged_) {
+    if (!former.contains(request)) {
+      log("request_quarantined", request);
+    }
+  }
+  for (const RequestFingerprint request : former) {
+    if (!logged_.contains(request)) {
+      log("request_released", request);
+    }
+  }
+  metrics_
+      .GetGauge("acaciaspring_quarantined_requests",
+                "Requests that are refused because they crash endpoints")
+      .Set(static_cast<double>(logged_.size()));
+}
+
+}  // namespace acaciaspring::gateway
--- a/src/gateway/crashing_request_test.cc
+++ b/src/gateway/crashing_request_test.cc
@@ -102,6 +102,68 @@
   BOOST_TEST(std::holds_alternative<NotRun>(*outcomes.back()));
 }
 
+// Guards against innocent requests that are refused because they ran beside one that crashes
+// endpoints.
+BOOST_AUTO_TEST_CASE(requests_beside_it_are_served) {
+  for (int i = 0; i < 4; ++i) {
+    Call("held");
+    CallAndWait("deadly");
+  }
+  BOOST_TEST(Crashed() == kMaxCrashes);
+  BOOST_TEST(std::holds_alternative<Completed>(CallAndWait("innocent")));
+  for (const auto& responder : held) {
+    responder->Respond(200, {}, "");
+  }
+  Call("held");
+  net::RunUntil(loop, [this] { return held.size() == 5; });
+}
+
+// Guards against endpoints that lose responses, or are stopped by plan, as evidence against
+// requests.
+BOOST_AUTO_TEST_CASE(only_crashes_are_evidence) {
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST(std::holds_alternative<Unknown>(CallAndWait("lost")));
+  }
+  BOOST_TEST(context.crashes.evidence().empty());
+  std::vector<RegisteredEndpoint> leaving;
+  for (std::size_t i = 0; i < kEndpoints; ++i) {
+    leaving.push_back(*context.endpoints.Find(EndpointId("e" + std::to_string(i))));
+    leaving.back().state = EndpointState::kDraining;
+  }
+  for (int i = 0; i < 4; ++i) {
+    Call("held");
+  }
+  net::RunUntil(loop, [this] { return held.size() == 4; });
+  context.endpoints.SetEndpoints(leaving);
+  servers.clear();
+  net::RunUntil(loop, [this] {
+    return std::all_of(outcomes.begin(), outcomes.end(),
+                       [](const auto& outcome) { return outcome.has_value(); });
+  });
+  BOOST_TEST(context.crashes.evidence().empty());
+}
+
+// Guards against a request that crashes three endpoints through each daemon.
+BOOST_AUTO_TEST_CASE(daemons_share_their_evidence) {
+  Context other(loop, {.self = {.id = DaemonId("other")}});
+  context.crashes.SetSend(
+      [&](const PeerCrashReports& reports) { other.crashes.OnReports(DaemonId("self"), reports); });
+  for (int i = 0; i < 3; ++i) {
+    CallAndWait("deadly");
+  }
+  BOOST_TEST(other.crashes.evidence().Quarantined().size() == 1U);
+  // What has completed at one daemon is cleared at all.
+  for (int i = 0; i < 3; ++i) {
+    context.crashes.OnReports(
+        DaemonId("other"),
+        {.crashes = {{.endpoint = EndpointId("x" + std::to_string(i)),
+                      .requests = {{.request = RequestFingerprint(7), .unanswered = true}}}}});
+  }
+  BOOST_TEST(context.crashes.evidence().Quarantined().size() == 2U);
+  context.crashes.OnReports(DaemonId("other"), {.cleared = {RequestFingerprint(7)}});
+  BOOST_TEST(context.crashes.evidence().Quarantined().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -53,7 +53,33 @@
           .prompt = plan_.prompt};
 }
 
+bool EndpointCall::RefuseIfQuarantined() {
+  const CrashEvidence& evidence = context_.crashes.evidence();
+  if (!evidence.HasQuarantine()) {
+    return false;
+  }
+  const RequestFingerprint fingerprint = Fingerprint();
+  const auto quarantine = evidence.Find(fingerprint, context_.loop.Now());
+  if (!quarantine) {
+    return false;
+  }
+  const auto remaining =
+      std::chrono::ceil<std::chrono::milliseconds>(quarantine->remaining).count();
+  context_.events.Write("request_refused",
+                        {{"id", plan_.id.value()},
+                         {"fingerprint", ToString(fingerprint)},
+                         {"crashes", static_cast<std::int64_t>(quarantine->crashes)},
+                         {"runs", static_cast<std::int64_t>(possible_runs_)},
+                         {"remaining_ms", remaining}});
+  FinishLater(NotRun{.reason = NotRunReason::kCrashesEndpoints,
+                     .retry_after_ms = static_cast<std::uint32_t>(remaining)});
+  return true;
+}
+
 void EndpointCall::Attempt() {
+  if (RefuseIfQuarantined()) {
+    return;
+  }
   const MonotonicTime now = context_.loop.Now();
   const PermitQueue& queue = context_.waiting_calls.queue();
   const bool others_first = queue.CountAhead(plan_.service, plan_.priority) > 0 &&
@@ -142,6 +168,7 @@
   }
   StopWaiting();
   endpoint_ = endpoint->id;
+  endpoint_started_at_ms_ = endpoint->started_at_ms;
   tried_endpoints_.push_back(endpoint->id);
   ++attempts_;
   rejected_ = false;
@@ -299,6 +326,9 @@
 
 void EndpointCall::OnResponseComplete() {
   ++possible_runs_;
+  if (!context_.crashes.evidence().empty()) {
+    context_.crashes.OnCompleted(Fingerprint());
+  }
   const bool server_error = status_ >= 500;
   EndAttempt(server_error ? AttemptResult::kFailed : AttemptResult::kSucceeded);
   if (server_error && MayRunAgain() && possible_runs_ < plan_.max_attempts) {
@@ -352,8 +382,21 @@
   Finish(Unknown{.reason = UnknownReason::kConnectionLost});
 }
 
+void EndpointCall::ReportInterruption() {
+  // An endpoint that is leaving ends by plan.
+  const RegisteredEndpoint* endpoint = context_.endpoints.Find(endpoint_);
+  if (endpoint != nullptr && endpoint->started_at_ms == endpoint_started_at_ms_ &&
+      endpoint->state == EndpointState::kReady) {
+    context_.crashes.OnInterrupted(*endpoint,
+                                   {.request = Fingerprint(), .unanswered = received_bytes_ == 0});
+  }
+}
+
 void EndpointCall::OnInterrupted(bool timed_out) {
   ++possible_runs_;
+  if (!timed_out) {
+    ReportInterruption();
+  }
   EndAttempt(AttemptResult::kFailed);
   const Unknown unknown{timed_out ? UnknownReason::kTimeout : UnknownReason::kConnectionLost};
   if (MayRunAgain()) {
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -54,6 +54,10 @@
  private:
   /// @brief Starts an attempt, waits for a permit, or ends the call.
   void Attempt();
+  /// @brief Ends the call if its request has crashed several endpoints.
+  bool RefuseIfQuarantined();
+  /// @brief Tells the crash monitor that the connection of the attempt broke off.
+  void ReportInterruption();
   /// @brief Starts an attempt if there is an endpoint for it.
   bool TryAttempt();
   EndpointQuery MakeQuery() const;
@@ -93,6 +97,8 @@
   CallPlan plan_;
   CallCallbacks callbacks_;
   EndpointId endpoint_;
+  /// Run of the endpoint at the start of the attempt.
+  std::int64_t endpoint_started_at_ms_ = 0;
   std::vector<EndpointId> tried_endpoints_;
   std::shared_ptr<net::HttpCall> http_call_;
   net::Timer deadline_timer_;
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -151,6 +151,11 @@
              query.excluded.end();
 }
 
+const RegisteredEndpoint* EndpointTable::Find(const EndpointId& endpoint) const {
+  const auto found = endpoints_.find(endpoint);
+  return found == endpoints_.end() ? nullptr : &found->second.description;
+}
+
 const RegisteredEndpoint* EndpointTable::Choose(const EndpointQuery& query,
                                                 MonotonicTime now,
                                                 std::mt19937_64& random) {
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -110,6 +110,8 @@
   /// @brief Increases with each change of OwnCounts().
   std::uint64_t own_changes() const { return own_changes_; }
 
+  /// @brief Null if the endpoint is not registered.
+  const RegisteredEndpoint* Find(const EndpointId& endpoint) const;
   /// @brief Null if no endpoint can take the call.
   const RegisteredEndpoint* Choose(const EndpointQuery& query,
                                    MonotonicTime now,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -115,6 +115,10 @@
               [this](const DaemonId& daemon, const PeerRateLimits& limits) {
                 rate_limits.OnReports(daemon, limits);
               },
+          .on_crashes =
+              [this](const DaemonId& daemon, const PeerCrashReports& reports) {
+                context.crashes.OnReports(daemon, reports);
+              },
           .on_message =
               [this](const DaemonId& daemon, PeerMessage message, const ReplyFunction& reply) {
                 router.OnMessage(daemon, std::move(message), reply);
@@ -124,6 +128,11 @@
                 links->Send(daemon, MakeStatus());
                 rate_limits.Greet(
                     [&](const PeerMessage& message) { links->Send(daemon, message); });
+                PeerCrashReports crashes{
+                    .crashes = context.crashes.evidence().MakeReports(context.loop.Now())};
+                if (!crashes.crashes.empty()) {
+                  links->Send(daemon, std::move(crashes));
+                }
               },
           .on_disconnected =
               [this](const DaemonId& daemon) {
@@ -138,7 +147,12 @@
   links->SetMembers(members);
   ScheduleHeartbeat();
   ScheduleLoadReport();
-  maintenance = context.loop.Every(kMaintenancePeriod, [this] { ownership.Maintain(); });
+  context.crashes.SetSend(
+      [this](PeerCrashReports reports) { links->SendToAll(std::move(reports)); });
+  maintenance = context.loop.Every(kMaintenancePeriod, [this] {
+    ownership.Maintain();
+    context.crashes.Expire();
+  });
 }
 
 void Gateway::Impl::ScheduleHeartbeat() {
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -104,6 +104,10 @@
     handlers_.on_rate_limits(id, *limits);
     return;
   }
+  if (const auto* crashes = std::get_if<PeerCrashReports>(&*message)) {
+    handlers_.on_crashes(id, *crashes);
+    return;
+  }
   handlers_.on_message(id, std::move(*message),
                        [weak = std::weak_ptr<Incoming>(incoming)](const PeerMessage& reply) {
                          if (const auto live = weak.lock()) {
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -24,6 +24,7 @@
   std::function<void(const DaemonId&, const PeerLoad&)> on_load = {};
   std::function<void(const DaemonId&, const PeerDemand&)> on_demand = {};
   std::function<void(const DaemonId&, const PeerRateLimits&)> on_rate_limits = {};
+  std::function<void(const DaemonId&, const PeerCrashReports&)> on_crashes = {};
   /// Called for all other messages.
   std::function<void(const DaemonId&, PeerMessage, const ReplyFunction&)> on_message = {};
   /// The connection to the daemon opened.
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "acaciaspring/wire.h"
+#include "src/gateway/crash_monitor.h"
 #include "src/gateway/endpoint_table.h"
 #include "src/gateway/response_sink.h"
 
@@ -224,7 +225,8 @@
                                  CommitReply,
                                  PeerLoad,
                                  PeerDemand,
-                                 PeerRateLimits>;
+                                 PeerRateLimits,
+                                 PeerCrashReports>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError if the message is malformed.
