Keep the rate limit of an endpoint that is missing from the registry

Callers saw nothing; found by reading. After an outage of the store, entries of endpoints are missing for some seconds. The daemon forgot their limits then and would have sent without a limit until its first answer.

Cause: the limit was removed with the endpoint's entry.

--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -35,17 +35,11 @@
         known->second.description.started_at_ms == endpoint.started_at_ms &&
         known->second.description.address == endpoint.address) {
       entry = known->second;
-    } else {
-      limits_.RemoveEndpoint(id);
     }
+    limits_.OnListed(endpoint);
     entry.description = std::move(endpoint);
     updated.insert_or_assign(id, std::move(entry));
   }
-  for (const auto& [id, entry] : endpoints_) {
-    if (!updated.contains(id)) {
-      limits_.RemoveEndpoint(id);
-    }
-  }
   endpoints_ = std::move(updated);
   UpdateServices();
 }
--- a/src/gateway/rate_limits.cc
+++ b/src/gateway/rate_limits.cc
@@ -51,8 +51,11 @@
   }
 }
 
-void RateLimits::RemoveEndpoint(const EndpointId& endpoint) {
-  limits_.erase(endpoint);
+void RateLimits::OnListed(const RegisteredEndpoint& endpoint) {
+  const auto found = limits_.find(endpoint.id);
+  if (found != limits_.end() && found->second.started_at_ms != endpoint.started_at_ms) {
+    limits_.erase(found);
+  }
 }
 
 void RateLimits::UpdateShares(MonotonicTime now) {
--- a/src/gateway/rate_limits.h
+++ b/src/gateway/rate_limits.h
@@ -70,7 +70,10 @@
   void SetDemand(const DaemonId& daemon, std::set<ServiceId> services, MonotonicTime now);
   /// @brief Sets whether the endpoints of a service cache the prompts of sessions.
   void SetKeepsSessions(const ServiceId& service, bool keeps_sessions);
-  void RemoveEndpoint(const EndpointId& endpoint);
+  /// @brief Forgets the limit of an earlier run of the endpoint. The limit of an endpoint that is
+  /// not listed for a while, for example because the registry is unavailable, is kept until it
+  /// expires.
+  void OnListed(const RegisteredEndpoint& endpoint);
 
   /// @brief Applies the limit that a response of the endpoint names, or that it names none.
   std::optional<RateLimitChange> OnResponse(const RegisteredEndpoint& endpoint,
--- a/src/gateway/rate_limits_test.cc
+++ b/src/gateway/rate_limits_test.cc
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "src/gateway/endpoint_table.h"
+
 namespace acaciaspring::gateway {
 
 namespace {
@@ -81,6 +83,19 @@
   BOOST_TEST(limits.empty());
 }
 
+// Guards against requests above the limit of an endpoint whose registry entry was missing for some
+// seconds, and against the limit of its former run.
+BOOST_AUTO_TEST_CASE(limit_is_kept_while_the_endpoint_is_not_listed) {
+  EndpointTable table{AvailabilityZone("z")};
+  table.SetEndpoints({endpoint});
+  table.OnRateLimit(kId, 4.0, kStart);
+  table.SetEndpoints({});
+  table.SetEndpoints({endpoint});
+  BOOST_TEST((table.rate_limits().Find(kId) != nullptr));
+  table.SetEndpoints({MakeEndpoint(2)});
+  BOOST_TEST((table.rate_limits().Find(kId) == nullptr));
+}
+
 // Guards against reports of other daemons with numbers that cannot be limits.
 BOOST_AUTO_TEST_CASE(invalid_reports_are_ignored) {
   for (const double value :
