--- a/src/main/decision_bench.cc
+++ b/src/main/decision_bench.cc
@@ -6,6 +6,8 @@
 
 #include "acaciaspring/routing.h"
 #include "acaciaspring/scheduling.h"
+#include "src/gateway/crash_evidence.h"
+#include "src/gateway/endpoint_table.h"
 
 namespace acaciaspring {
 namespace {
@@ -59,6 +61,52 @@
 }
 BENCHMARK(ChooseEndpoint)->Arg(12)->Arg(50)->Arg(150)->Arg(300)->Arg(610)->Complexity();
 
+// Time of the gateway to choose one of 130 engines, of which the given percentage names a rate
+// limit.
+void ChooseWithRateLimits(benchmark::State& state) {
+  constexpr std::uint64_t kEngines = 130;
+  gateway::EndpointTable table{AvailabilityZone("zone1")};
+  std::vector<gateway::RegisteredEndpoint> endpoints;
+  for (std::uint64_t i = 0; i < kEngines; ++i) {
+    endpoints.push_back({.id = Endpoint(i),
+                         .service = kModel,
+                         .address = {.ip = "10.0.0.1", .port = static_cast<std::uint16_t>(i)},
+                         .zone = AvailabilityZone("zone" + std::to_string(i % 5)),
+                         .slots = 24});
+  }
+  table.SetEndpoints(endpoints);
+  table.SetEngineMemory(kModel, TokenCount(600'000));
+  const auto limited = kEngines * static_cast<std::uint64_t>(state.range(0)) / 100;
+  for (std::uint64_t i = 0; i < limited; ++i) {
+    table.OnRateLimit(Endpoint(i), 4.0, At(0));
+  }
+  std::mt19937_64 random(1);
+  std::uint64_t now = 0;
+  for ([[maybe_unused]] auto unused : state) {
+    ++now;
+    const auto* chosen = table.Choose({.service = kModel}, At(now), random);
+    table.OnStarted(chosen->id, At(now));
+    table.OnFinished(chosen->id, gateway::AttemptResult::kSucceeded, At(now));
+    benchmark::DoNotOptimize(chosen);
+  }
+}
+BENCHMARK(ChooseWithRateLimits)->Arg(0)->Arg(10)->Arg(70);
+
+// Time to fingerprint a request with a body of the given size and to look it up.
+void CheckQuarantine(benchmark::State& state) {
+  const std::string body(static_cast<std::size_t>(state.range(0)), 'x');
+  gateway::CrashEvidence evidence;
+  for (std::uint64_t run = 0; run < 3; ++run) {
+    evidence.Add({.endpoint = Endpoint(run), .requests = {{.request = {}}}}, At(0));
+  }
+  for ([[maybe_unused]] auto unused : state) {
+    const auto fingerprints = gateway::MakeFingerprints(
+        "key", {.method = "POST", .host = "host", .target = "/", .body = body});
+    benchmark::DoNotOptimize(evidence.Find(fingerprints, At(1)));
+  }
+}
+BENCHMARK(CheckQuarantine)->Arg(0)->Arg(17'000);
+
 QueuedCall RandomCall(std::uint64_t id, std::mt19937_64& random) {
   static const std::vector<PriorityClassId> kClasses{
       PriorityClassId("urgent"), PriorityClassId("normal"), PriorityClassId("batch")};
