Recognise deadly conversations that come again with a longer history

Cause: the caller of such a route sends the whole conversation each time, so the deadly request came with bodies of 9 to 25 KB that are the same up to the length of the shortest (trial with hashes of 400-byte parts), and the fingerprint of the whole body was new each time.

Change: each lost request is reported with a second fingerprint, of the first 512 bytes of the body. Requests that start alike are quarantined together only if none of them completes meanwhile; among equal evidence the whole request is preferred, so others that start like it stay served. The tests requests_that_start_alike_are_one_suspect and whole_request_is_preferred guard both sides.

--- a/src/gateway/crash_evidence.cc
+++ b/src/gateway/crash_evidence.cc
@@ -14,7 +14,8 @@
   crash->second.at = is_new ? at : std::min(crash->second.at, at);
   for (const LostRequest& lost : report.requests) {
     if (crash->second.requests.size() < options_.max_requests_per_crash) {
-      crash->second.requests[lost.request] |= lost.unanswered;
+      LostRequest& known = crash->second.requests.try_emplace(lost.request, lost).first->second;
+      known.unanswered = known.unanswered || lost.unanswered;
     }
   }
   if (crashes_.size() > options_.max_crashes) {
@@ -59,10 +60,11 @@
 std::map<RequestFingerprint, CrashEvidence::Suspect> CrashEvidence::CountCrashes() const {
   std::map<RequestFingerprint, Suspect> suspects;
   for (const auto& [run, crash] : crashes_) {
-    for (const auto& [request, unanswered] : crash.requests) {
+    for (const auto& [request, lost] : crash.requests) {
       Suspect& suspect = suspects[request];
       ++suspect.crashes;
-      suspect.unanswered += unanswered ? 1 : 0;
+      suspect.unanswered += lost.unanswered ? 1 : 0;
+      suspect.whole = lost.whole;
       suspect.last_crash_at = std::max(suspect.last_crash_at, crash.at);
     }
   }
@@ -81,7 +83,7 @@
   while (true) {
     std::map<RequestFingerprint, std::size_t> counts;
     for (const Crash* crash : unexplained) {
-      for (const auto& [request, unanswered] : crash->requests) {
+      for (const auto& [request, lost] : crash->requests) {
         ++counts[request];
       }
     }
@@ -89,7 +91,8 @@
     // to be the cause. If the choice is wrong, the next crash of the right one corrects it.
     const auto rank = [&](const auto& count) {
       const Suspect& suspect = suspects.at(count.first);
-      return std::make_tuple(count.second, suspect.crashes, suspect.unanswered, count.first);
+      return std::make_tuple(count.second, suspect.crashes, suspect.whole, suspect.unanswered,
+                             count.first);
     };
     const auto worst = std::max_element(
         counts.begin(), counts.end(),
@@ -104,8 +107,15 @@
   }
 }
 
-std::optional<Quarantine> CrashEvidence::Find(RequestFingerprint request, MonotonicTime now) const {
-  const auto found = quarantined_.find(request);
+std::optional<Quarantine> CrashEvidence::Find(const RequestFingerprints& request,
+                                              MonotonicTime now) const {
+  const auto whole = Find(request.whole, now);
+  return whole ? whole : Find(request.start, now);
+}
+
+std::optional<Quarantine> CrashEvidence::Find(RequestFingerprint fingerprint,
+                                              MonotonicTime now) const {
+  const auto found = quarantined_.find(fingerprint);
   if (found == quarantined_.end()) {
     return std::nullopt;
   }
@@ -124,9 +134,9 @@
     CrashReport report{.endpoint = run.first,
                        .started_at_ms = run.second,
                        .age_us = std::chrono::duration_cast<Duration>(now - crash.at).count()};
-    for (const auto& [request, unanswered] : crash.requests) {
+    for (const auto& [request, lost] : crash.requests) {
       if (suspects.at(request).crashes > 1) {
-        report.requests.push_back({.request = request, .unanswered = unanswered});
+        report.requests.push_back(lost);
       }
     }
     if (!report.requests.empty()) {
--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -14,14 +14,16 @@
 
 namespace acaciaspring::gateway {
 
-/// @brief A request that was lost because its endpoint crashed.
+/// @brief One fingerprint of a request that was lost because its endpoint crashed.
 struct LostRequest {
   RequestFingerprint request = {};
+  /// The fingerprint is that of the whole request.
+  bool whole = true;
   /// No byte of a response body had arrived.
   bool unanswered = false;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request, unanswered);
+    archive(request, whole, unanswered);
   }
 };
 
@@ -46,7 +48,8 @@
   Duration validity = std::chrono::minutes(5);
   /// The oldest crash is forgotten first.
   std::size_t max_crashes = 256;
-  std::size_t max_requests_per_crash = 128;
+  /// Fingerprints kept of one crash.
+  std::size_t max_requests_per_crash = 256;
 };
 
 struct Quarantine {
@@ -59,6 +62,7 @@
 ///
 /// All requests on a crashed endpoint are suspects. A request is quarantined after it was lost in
 /// several crashes, unless quarantined requests explain these, and it is cleared once it completes.
+/// Requests whose bodies only start alike are one suspect as well, if none of them completes.
 class CrashEvidence {
  public:
   explicit CrashEvidence(CrashEvidenceOptions options = {}) : options_(options) {}
@@ -73,7 +77,7 @@
   bool HasCrash(const EndpointId& endpoint, std::int64_t started_at_ms) const;
   bool HasQuarantine() const { return !quarantined_.empty(); }
   std::set<RequestFingerprint> Quarantined() const;
-  std::optional<Quarantine> Find(RequestFingerprint request, MonotonicTime now) const;
+  std::optional<Quarantine> Find(const RequestFingerprints& request, MonotonicTime now) const;
   /// @brief Reports, for a daemon that has just started, of all requests with several crashes.
   std::vector<CrashReport> MakeReports(MonotonicTime now) const;
 
@@ -81,14 +85,16 @@
   using RunKey = std::pair<EndpointId, std::int64_t>;
   struct Crash {
     MonotonicTime at;
-    /// Whether the request was unanswered, by request.
-    std::map<RequestFingerprint, bool> requests;
+    std::map<RequestFingerprint, LostRequest> requests;
   };
   struct Suspect {
     std::size_t crashes = 0;
     std::size_t unanswered = 0;
+    /// The fingerprint is that of a whole request.
+    bool whole = false;
     MonotonicTime last_crash_at;
   };
+  std::optional<Quarantine> Find(RequestFingerprint fingerprint, MonotonicTime now) const;
   void Update();
   std::map<RequestFingerprint, Suspect> CountCrashes() const;
 
--- a/src/gateway/crash_evidence_test.cc
+++ b/src/gateway/crash_evidence_test.cc
@@ -9,6 +9,7 @@
 constexpr MonotonicTime kStart{std::chrono::seconds(1000)};
 constexpr RequestFingerprint kDeadly{100};
 constexpr RequestFingerprint kOther{200};
+constexpr RequestFingerprint kAlike{400};
 
 MonotonicTime After(int seconds) {
   return kStart + std::chrono::seconds(seconds);
@@ -24,7 +25,7 @@
     evidence.Add(report, After(at_second));
   }
   bool IsQuarantined(RequestFingerprint request, int at_second = 0) const {
-    return evidence.Find(request, After(at_second)).has_value();
+    return evidence.Find({.whole = request}, After(at_second)).has_value();
   }
 
   CrashEvidence evidence;
@@ -42,7 +43,7 @@
   BOOST_TEST(!IsQuarantined(kDeadly));
   Crash(3, {kDeadly});
   BOOST_TEST(IsQuarantined(kDeadly));
-  BOOST_TEST(evidence.Find(kDeadly, kStart)->crashes == 3U);
+  BOOST_TEST(evidence.Find({.whole = kDeadly}, kStart)->crashes == 3U);
 }
 
 // Guards against one crash that counts several times, because several daemons had requests there.
@@ -91,6 +92,39 @@
   BOOST_TEST(!IsQuarantined(kDeadly));
 }
 
+// Guards against a conversation that crashes endpoints and comes again with a longer history each
+// time, and against other conversations that start like it and are refused although they complete.
+BOOST_AUTO_TEST_CASE(requests_that_start_alike_are_one_suspect) {
+  const auto crash = [this](int number) {
+    evidence.Add({.endpoint = EndpointId("e" + std::to_string(number)),
+                  .started_at_ms = 1,
+                  .requests = {{.request = RequestFingerprint(static_cast<std::uint64_t>(number))},
+                               {.request = kAlike, .whole = false}}},
+                 kStart);
+  };
+  crash(1);
+  crash(2);
+  // Another request that starts like them completes.
+  evidence.Clear(kAlike);
+  crash(3);
+  BOOST_TEST(!evidence.HasQuarantine());
+  crash(4);
+  crash(5);
+  BOOST_TEST(evidence.Find({.whole = RequestFingerprint(99), .start = kAlike}, kStart).has_value());
+}
+
+// Guards against requests that are refused because they start like one that is quarantined itself.
+BOOST_AUTO_TEST_CASE(whole_request_is_preferred) {
+  for (int number = 1; number <= 3; ++number) {
+    evidence.Add({.endpoint = EndpointId("e" + std::to_string(number)),
+                  .started_at_ms = 1,
+                  .requests = {{.request = kDeadly}, {.request = kOther, .whole = false}}},
+                 kStart);
+  }
+  BOOST_TEST(IsQuarantined(kDeadly));
+  BOOST_TEST(!evidence.Find({.whole = RequestFingerprint(99), .start = kOther}, kStart));
+}
+
 // Guards against requests that stay under suspicion although they have been executed.
 BOOST_AUTO_TEST_CASE(completed_request_is_cleared) {
   Crash(1, {kOther});
@@ -107,7 +141,7 @@
     Crash(number, {kDeadly}, number);
   }
   BOOST_TEST(IsQuarantined(kDeadly, 299));
-  BOOST_TEST((evidence.Find(kDeadly, After(3))->remaining == std::chrono::minutes(5)));
+  BOOST_TEST((evidence.Find({.whole = kDeadly}, After(3))->remaining == std::chrono::minutes(5)));
   BOOST_TEST(!IsQuarantined(kDeadly, 303));
   evidence.Expire(After(303));
   BOOST_TEST(evidence.empty());
@@ -140,11 +174,11 @@
     requests += report.requests.size();
     restarted.Add(report, After(10));
   }
-  BOOST_TEST(restarted.Find(kDeadly, After(10)).has_value());
+  BOOST_TEST(restarted.Find({.whole = kDeadly}, After(10)).has_value());
   // Requests with a single crash are not worth a message.
   BOOST_TEST(requests == 3U);
-  BOOST_TEST((restarted.Find(kDeadly, After(10))->remaining ==
-              evidence.Find(kDeadly, After(10))->remaining));
+  BOOST_TEST((restarted.Find({.whole = kDeadly}, After(10))->remaining ==
+              evidence.Find({.whole = kDeadly}, After(10))->remaining));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -12,14 +12,19 @@
 
 }  // namespace
 
-void CrashMonitor::OnInterrupted(const RegisteredEndpoint& endpoint, const LostRequest& lost) {
+void CrashMonitor::OnInterrupted(const RegisteredEndpoint& endpoint,
+                                 const RequestFingerprints& request,
+                                 bool unanswered) {
   const RunKey run{endpoint.id, endpoint.started_at_ms};
+  const std::vector<LostRequest> lost{
+      {.request = request.whole, .whole = true, .unanswered = unanswered},
+      {.request = request.start, .whole = false, .unanswered = unanswered}};
   if (evidence_.HasCrash(run.first, run.second)) {
-    Report(run, {lost});
+    Report(run, lost);
     return;
   }
   Check& check = checks_[run];
-  check.requests.push_back(lost);
+  check.requests.insert(check.requests.end(), lost.begin(), lost.end());
   if (check.connect == nullptr) {
     check.connect = std::make_unique<net::ConnectCheck>(
         loop_, endpoint.address, kCheckTimeout,
@@ -54,11 +59,17 @@
   LogChanges(source);
 }
 
-void CrashMonitor::OnCompleted(RequestFingerprint request) {
-  if (evidence_.Clear(request)) {
+void CrashMonitor::OnCompleted(const RequestFingerprints& request) {
+  PeerCrashReports reports;
+  for (const RequestFingerprint fingerprint : {request.whole, request.start}) {
+    if (evidence_.Clear(fingerprint)) {
+      reports.cleared.push_back(fingerprint);
+    }
+  }
+  if (!reports.cleared.empty()) {
     LogChanges("self");
     if (send_) {
-      send_({.cleared = {request}});
+      send_(std::move(reports));
     }
   }
 }
@@ -81,7 +92,7 @@
 void CrashMonitor::LogChanges(const std::string& source) {
   const std::set<RequestFingerprint> former = std::exchange(logged_, evidence_.Quarantined());
   const auto log = [&](const char* event, RequestFingerprint request) {
-    const auto quarantine = evidence_.Find(request, loop_.Now());
+    const auto quarantine = evidence_.Find({.whole = request}, loop_.Now());
     events_.Write(event,
                   {{"fingerprint", ToString(request)},
                    {"crashes", static_cast<std::int64_t>(quarantine ? quarantine->crashes : 0)},
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -38,9 +38,11 @@
 
   /// @brief Records that the connection of a request broke off. It counts as evidence only if the
   /// endpoint refuses connections afterwards, so that its process has ended.
-  void OnInterrupted(const RegisteredEndpoint& endpoint, const LostRequest& lost);
+  void OnInterrupted(const RegisteredEndpoint& endpoint,
+                     const RequestFingerprints& request,
+                     bool unanswered);
   /// @brief Records that an endpoint has responded to the request and is still running.
-  void OnCompleted(RequestFingerprint request);
+  void OnCompleted(const RequestFingerprints& request);
   void OnReports(const DaemonId& daemon, const PeerCrashReports& reports);
   void Expire();
 
--- a/src/gateway/crashing_request_test.cc
+++ b/src/gateway/crashing_request_test.cc
@@ -72,7 +72,7 @@
     Call(body);
     net::RunUntil(loop, [this] { return outcomes.back().has_value(); });
     // Lets the daemon find out what became of the endpoint.
-    net::RunUntil(loop, [this, turns = 0]() mutable { return ++turns > 20; });
+    net::RunUntil(loop, [turns = 0]() mutable { return ++turns > 20; });
     return *outcomes.back();
   }
   std::size_t Crashed() const {
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -58,8 +58,8 @@
   if (!evidence.HasQuarantine()) {
     return false;
   }
-  const RequestFingerprint fingerprint = Fingerprint();
-  const auto quarantine = evidence.Find(fingerprint, context_.loop.Now());
+  const RequestFingerprints fingerprints = Fingerprints();
+  const auto quarantine = evidence.Find(fingerprints, context_.loop.Now());
   if (!quarantine) {
     return false;
   }
@@ -67,7 +67,8 @@
       std::chrono::ceil<std::chrono::milliseconds>(quarantine->remaining).count();
   context_.events.Write("request_refused",
                         {{"id", plan_.id.value()},
-                         {"fingerprint", ToString(fingerprint)},
+                         {"fingerprint", ToString(fingerprints.whole)},
+                         {"start_fingerprint", ToString(fingerprints.start)},
                          {"crashes", static_cast<std::int64_t>(quarantine->crashes)},
                          {"runs", static_cast<std::int64_t>(possible_runs_)},
                          {"remaining_ms", remaining}});
@@ -327,7 +328,7 @@
 void EndpointCall::OnResponseComplete() {
   ++possible_runs_;
   if (!context_.crashes.evidence().empty()) {
-    context_.crashes.OnCompleted(Fingerprint());
+    context_.crashes.OnCompleted(Fingerprints());
   }
   const bool server_error = status_ >= 500;
   EndAttempt(server_error ? AttemptResult::kFailed : AttemptResult::kSucceeded);
@@ -387,8 +388,7 @@
   const RegisteredEndpoint* endpoint = context_.endpoints.Find(endpoint_);
   if (endpoint != nullptr && endpoint->started_at_ms == endpoint_started_at_ms_ &&
       endpoint->state == EndpointState::kReady) {
-    context_.crashes.OnInterrupted(*endpoint,
-                                   {.request = Fingerprint(), .unanswered = received_bytes_ == 0});
+    context_.crashes.OnInterrupted(*endpoint, Fingerprints(), /*unanswered=*/received_bytes_ == 0);
   }
 }
 
@@ -449,19 +449,19 @@
   Finish(outcome);
 }
 
-RequestFingerprint EndpointCall::Fingerprint() const {
-  return MakeFingerprint(context_.fingerprint_key,
-                         {.credentials = net::FindHeader(plan_.headers, "authorization"),
-                          .method = plan_.method,
-                          .host = net::FindHeader(plan_.headers, "host"),
-                          .target = plan_.target,
-                          .body = std::string_view(plan_.body).substr(plan_.added_bytes)});
+RequestFingerprints EndpointCall::Fingerprints() const {
+  return MakeFingerprints(context_.fingerprint_key,
+                          {.credentials = net::FindHeader(plan_.headers, "authorization"),
+                           .method = plan_.method,
+                           .host = net::FindHeader(plan_.headers, "host"),
+                           .target = plan_.target,
+                           .body = std::string_view(plan_.body).substr(plan_.added_bytes)});
 }
 
 void EndpointCall::LogAttempt(AttemptResult result) const {
   context_.events.Write("attempt_failed",
                         {{"id", plan_.id.value()},
-                         {"fingerprint", ToString(Fingerprint())},
+                         {"fingerprint", ToString(Fingerprints().whole)},
                          {"endpoint", endpoint_.value()},
                          {"why", result == AttemptResult::kRejected ? "not_executed" : "failed"},
                          {"status", static_cast<std::int64_t>(status_)},
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -86,7 +86,7 @@
   void RetryOrFinish(const Outcome& outcome);
   void EndAttempt(AttemptResult result);
   void LogAttempt(AttemptResult result) const;
-  RequestFingerprint Fingerprint() const;
+  RequestFingerprints Fingerprints() const;
   void StartDelivery();
   void MeasureStream(std::string_view data);
   void Finish(const Outcome& outcome);
--- a/src/gateway/request_fingerprint.cc
+++ b/src/gateway/request_fingerprint.cc
@@ -7,11 +7,19 @@
 
 namespace acaciaspring::gateway {
 
-RequestFingerprint MakeFingerprint(std::string_view key, const RequestContent& content) {
+namespace {
+
+// Longer than the greetings and field names with which bodies begin.
+constexpr std::size_t kStartBytes = 512;
+
+RequestFingerprint MakeFingerprint(std::string_view key,
+                                   std::string_view kind,
+                                   const RequestContent& content,
+                                   std::string_view body) {
   std::string data;
-  data.reserve(content.body.size() + 256);
+  data.reserve(body.size() + 256);
   for (const std::string_view part :
-       {content.credentials, content.method, content.host, content.target, content.body}) {
+       {kind, content.credentials, content.method, content.host, content.target, body}) {
     // The length keeps the parts apart.
     data += std::to_string(part.size());
     data += ':';
@@ -20,6 +28,13 @@
   return RequestFingerprint(wire::KeyedHash64(key, data));
 }
 
+}  // namespace
+
+RequestFingerprints MakeFingerprints(std::string_view key, const RequestContent& content) {
+  return {.whole = MakeFingerprint(key, "whole", content, content.body),
+          .start = MakeFingerprint(key, "start", content, content.body.substr(0, kStartBytes))};
+}
+
 std::string ToString(RequestFingerprint fingerprint) {
   std::array<char, 17> text{};
   std::snprintf(text.data(), text.size(), "%016llx",
--- a/src/gateway/request_fingerprint.h
+++ b/src/gateway/request_fingerprint.h
@@ -25,9 +25,18 @@
   std::string_view body = {};
 };
 
-/// @brief The fingerprint under a key that only the daemons know, so that nobody can make a request
-/// with the fingerprint of another one.
-RequestFingerprint MakeFingerprint(std::string_view key, const RequestContent& content);
+struct RequestFingerprints {
+  /// Of the whole request.
+  RequestFingerprint whole = {};
+  /// Of the request with the start of the body only. A conversation that comes again with a longer
+  /// history has the same one.
+  RequestFingerprint start = {};
+  bool operator==(const RequestFingerprints&) const = default;
+};
+
+/// @brief The fingerprints under a key that only the daemons know, so that nobody can make a
+/// request with the fingerprints of another one.
+RequestFingerprints MakeFingerprints(std::string_view key, const RequestContent& content);
 /// @brief 16 hexadecimal digits.
 std::string ToString(RequestFingerprint fingerprint);
 
--- a/src/gateway/request_fingerprint_test.cc
+++ b/src/gateway/request_fingerprint_test.cc
@@ -12,8 +12,8 @@
 BOOST_AUTO_TEST_CASE(each_part_and_the_key_distinguish_requests) {
   const RequestContent content{
       .credentials = "x", .method = "POST", .host = "h", .target = "/a", .body = "b"};
-  std::set<std::uint64_t> fingerprints{MakeFingerprint("key", content).value()};
-  BOOST_TEST((MakeFingerprint("key", content) == RequestFingerprint(*fingerprints.begin())));
+  std::set<std::uint64_t> fingerprints{MakeFingerprints("key", content).whole.value()};
+  BOOST_TEST((MakeFingerprints("key", content) == MakeFingerprints("key", content)));
   std::vector<RequestContent> others(6, content);
   others[0].credentials = "y";
   others[1].method = "PUT";
@@ -23,9 +23,24 @@
   others[5].target = "/a1:b";
   others[5].body = "";
   for (const RequestContent& other : others) {
-    BOOST_TEST(fingerprints.insert(MakeFingerprint("key", other).value()).second);
+    BOOST_TEST(fingerprints.insert(MakeFingerprints("key", other).whole.value()).second);
   }
-  BOOST_TEST(fingerprints.insert(MakeFingerprint("other key", content).value()).second);
+  BOOST_TEST(fingerprints.insert(MakeFingerprints("other key", content).whole.value()).second);
+}
+
+// Guards against a conversation that is not recognised when it comes again with a longer history,
+// and against different conversations that count as the same one.
+BOOST_AUTO_TEST_CASE(start_is_the_same_for_a_longer_history) {
+  const std::string history(600, 'a');
+  const std::string longer = history + "b";
+  const std::string other = "b" + history;
+  const auto fingerprints = [](std::string_view body) {
+    return MakeFingerprints("key", {.target = "/", .body = body});
+  };
+  BOOST_TEST((fingerprints(history).start == fingerprints(longer).start));
+  BOOST_TEST((fingerprints(history).whole != fingerprints(longer).whole));
+  BOOST_TEST((fingerprints(history).start != fingerprints(other).start));
+  BOOST_TEST((fingerprints("").start != fingerprints("").whole));
 }
 
 BOOST_AUTO_TEST_CASE(text_has_sixteen_digits) {
