Count chance losses in waves of crashes less

Cause: a request that is sent again during such waves is lost three times by chance, and three crashes were conclusive whatever else crashed. Change: a request must have been lost in two fifths of the unexplained crashes between its first and its last one, or in five. The tests few_of_many_crashes_are_chance and fifth_crash_quarantines_in_any_case guard both sides; the first fails without the share.

--- a/src/gateway/crash_evidence.cc
+++ b/src/gateway/crash_evidence.cc
@@ -81,23 +81,29 @@
     unexplained.push_back(&crash);
   }
   while (true) {
-    std::map<RequestFingerprint, std::size_t> counts;
+    std::map<RequestFingerprint, Count> counts;
     for (const Crash* crash : unexplained) {
       for (const auto& [request, lost] : crash->requests) {
-        ++counts[request];
+        Count& count = counts[request];
+        count.first = count.crashes == 0 ? crash->at : std::min(count.first, crash->at);
+        count.last = std::max(count.last, crash->at);
+        ++count.crashes;
       }
     }
-    // Among requests that were lost together each time, one that had no answer yet is more likely
-    // to be the cause. If the choice is wrong, the next crash of the right one corrects it.
+    std::erase_if(counts,
+                  [&](const auto& count) { return !IsConclusive(count.second, unexplained); });
+    // Among suspects that were lost together each time, a whole request is preferred to all that
+    // start like it, and one that had no answer yet is more likely to be the cause. If the choice
+    // is wrong, the next crash of the right one corrects it.
     const auto rank = [&](const auto& count) {
       const Suspect& suspect = suspects.at(count.first);
-      return std::make_tuple(count.second, suspect.crashes, suspect.whole, suspect.unanswered,
-                             count.first);
+      return std::make_tuple(count.second.crashes, suspect.crashes, suspect.whole,
+                             suspect.unanswered, count.first);
     };
     const auto worst = std::max_element(
         counts.begin(), counts.end(),
         [&](const auto& left, const auto& right) { return rank(left) < rank(right); });
-    if (worst == counts.end() || worst->second < options_.crashes_to_quarantine) {
+    if (worst == counts.end()) {
       return;
     }
     const RequestFingerprint request = worst->first;
@@ -107,6 +113,21 @@
   }
 }
 
+bool CrashEvidence::IsConclusive(const Count& count,
+                                 const std::vector<const Crash*>& unexplained) const {
+  if (count.crashes < options_.crashes_to_quarantine) {
+    return false;
+  }
+  // While endpoints crash by themselves, a request that is sent again is lost in several crashes by
+  // chance. One that causes crashes is lost in a large part of those since its first.
+  const auto meanwhile = std::count_if(
+      unexplained.begin(), unexplained.end(),
+      [&](const Crash* crash) { return crash->at >= count.first && crash->at <= count.last; });
+  return count.crashes >= options_.crashes_without_doubt ||
+         static_cast<double>(count.crashes) >=
+             options_.min_share_of_crashes * static_cast<double>(meanwhile);
+}
+
 std::optional<Quarantine> CrashEvidence::Find(const RequestFingerprints& request,
                                               MonotonicTime now) const {
   const auto whole = Find(request.whole, now);
--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -44,6 +44,11 @@
 struct CrashEvidenceOptions {
   /// Crashes after which a request is quarantined.
   std::size_t crashes_to_quarantine = 3;
+  /// Part of all unexplained crashes between its first and its last one in which a request must
+  /// have been lost.
+  double min_share_of_crashes = 0.4;
+  /// Crashes after which a request is quarantined whatever their share.
+  std::size_t crashes_without_doubt = 5;
   /// How long a crash counts, and a request stays quarantined after its last crash.
   Duration validity = std::chrono::minutes(5);
   /// The oldest crash is forgotten first.
@@ -87,6 +92,12 @@
     MonotonicTime at;
     std::map<RequestFingerprint, LostRequest> requests;
   };
+  /// @brief Unexplained crashes in which a request was lost.
+  struct Count {
+    std::size_t crashes = 0;
+    MonotonicTime first;
+    MonotonicTime last;
+  };
   struct Suspect {
     std::size_t crashes = 0;
     std::size_t unanswered = 0;
@@ -96,6 +107,7 @@
   };
   std::optional<Quarantine> Find(RequestFingerprint fingerprint, MonotonicTime now) const;
   void Update();
+  bool IsConclusive(const Count& count, const std::vector<const Crash*>& unexplained) const;
   std::map<RequestFingerprint, Suspect> CountCrashes() const;
 
   CrashEvidenceOptions options_;
--- a/src/gateway/crash_evidence_test.cc
+++ b/src/gateway/crash_evidence_test.cc
@@ -75,6 +75,31 @@
   BOOST_TEST(!IsQuarantined(kOther));
 }
 
+// Guards against requests that are refused because they were lost by chance in some of many
+// crashes, while endpoints crash by themselves.
+BOOST_AUTO_TEST_CASE(few_of_many_crashes_are_chance) {
+  for (int number = 0; number < 9; ++number) {
+    const RequestFingerprint other(static_cast<std::uint64_t>(1000 + number));
+    Crash(number, number % 4 == 0 ? std::vector{kOther, other} : std::vector{other}, number);
+  }
+  BOOST_TEST(!IsQuarantined(kOther));
+  // Two requests that crash endpoints in turn explain them.
+  for (int number = 20; number < 26; ++number) {
+    Crash(number, {number % 2 == 0 ? kDeadly : RequestFingerprint(300)}, number);
+  }
+  BOOST_TEST(IsQuarantined(kDeadly, 26));
+  BOOST_TEST(IsQuarantined(RequestFingerprint(300), 26));
+}
+
+// Guards against a request that crashes endpoints without end beside many other crashes.
+BOOST_AUTO_TEST_CASE(fifth_crash_quarantines_in_any_case) {
+  for (int number = 0; number < 20; ++number) {
+    const RequestFingerprint other(static_cast<std::uint64_t>(1000 + number));
+    Crash(number, number % 4 == 0 ? std::vector{kDeadly, other} : std::vector{other}, number);
+    BOOST_TEST(IsQuarantined(kDeadly, number) == (number >= 16));
+  }
+}
+
 // Guards against the wrong one of two requests that were lost together, and against one that stays
 // refused after a further crash shows the right one.
 BOOST_AUTO_TEST_CASE(unanswered_request_is_the_likelier_cause) {
