--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/gateway/rate_limit_log.h"
-
 namespace acaciaspring::gateway {
 
 namespace {
@@ -53,30 +51,6 @@
           .prompt = plan_.prompt};
 }
 
-bool EndpointCall::RefuseIfQuarantined() {
-  const CrashEvidence& evidence = context_.crashes.evidence();
-  if (!evidence.HasQuarantine()) {
-    return false;
-  }
-  const RequestFingerprints fingerprints = Fingerprints();
-  const auto quarantine = evidence.Find(fingerprints, context_.loop.Now());
-  if (!quarantine) {
-    return false;
-  }
-  const auto remaining =
-      std::chrono::ceil<std::chrono::milliseconds>(quarantine->remaining).count();
-  context_.events.Write("request_refused",
-                        {{"id", plan_.id.value()},
-                         {"fingerprint", ToString(fingerprints.whole)},
-                         {"start_fingerprint", ToString(fingerprints.start)},
-                         {"crashes", static_cast<std::int64_t>(quarantine->crashes)},
-                         {"runs", static_cast<std::int64_t>(possible_runs_)},
-                         {"remaining_ms", remaining}});
-  FinishLater(NotRun{.reason = NotRunReason::kCrashesEndpoints,
-                     .retry_after_ms = static_cast<std::uint32_t>(remaining)});
-  return true;
-}
-
 void EndpointCall::Attempt() {
   if (RefuseIfQuarantined()) {
     return;
@@ -98,36 +72,6 @@
              queue.Decide(plan_.service, plan_.priority, *forecast, now, plan_.deadline));
 }
 
-void EndpointCall::Wait(const WaitForPermit& wait, const PermitForecast& forecast) {
-  const MonotonicTime now = context_.loop.Now();
-  LogRateLimited("waits", forecast.WaitFrom(now));
-  ticket_ = context_.waiting_calls.Add(plan_.service, plan_.priority, [weak = weak_from_this()] {
-    const auto self = weak.lock();
-    return self == nullptr || self->TryAttempt();
-  });
-  attempt_timer_ =
-      context_.loop.After(std::chrono::duration_cast<Duration>(wait.until - now), [this] {
-        const auto self = shared_from_this();
-        StopWaiting();
-        const auto current = context_.endpoints.ForecastPermit(MakeQuery(), context_.loop.Now());
-        FinishRateLimited(current ? current->WaitFrom(context_.loop.Now()) : Duration(0));
-      });
-}
-
-void EndpointCall::StopWaiting() {
-  if (ticket_) {
-    attempt_timer_.Cancel();
-    context_.waiting_calls.Remove(*std::exchange(ticket_, std::nullopt));
-  }
-}
-
-void EndpointCall::FinishRateLimited(Duration retry_after) {
-  LogRateLimited("refused", retry_after);
-  const auto retry_after_ms = std::chrono::ceil<std::chrono::milliseconds>(retry_after).count();
-  FinishLater(NotRun{.reason = NotRunReason::kRateLimited,
-                     .retry_after_ms = static_cast<std::uint32_t>(retry_after_ms)});
-}
-
 void EndpointCall::FinishWithoutEndpoint() {
   FinishLater(NotRun{.reason = tried_endpoints_.empty() ? NotRunReason::kNoEndpoint
                                                         : NotRunReason::kOverloaded});
@@ -145,22 +89,6 @@
   });
 }
 
-void EndpointCall::LogRateLimited(const std::string& decision, Duration expected) const {
-  context_.events.Write(
-      "rate_limited",
-      {{"id", plan_.id.value()},
-       {"service", plan_.service.value()},
-       {"decision", decision},
-       {"expected_ms", std::chrono::duration_cast<std::chrono::milliseconds>(expected).count()},
-       {"waiting_calls", static_cast<std::int64_t>(context_.waiting_calls.queue().size())},
-       {"limited_endpoints", static_cast<std::int64_t>(context_.endpoints.rate_limits().size())}});
-  context_.metrics
-      .GetCounter("acaciaspring_rate_limited_calls_total",
-                  "Calls that found all endpoints at their rate limits, by decision",
-                  {{"decision", decision}})
-      .Increment();
-}
-
 bool EndpointCall::TryAttempt() {
   const RegisteredEndpoint* endpoint =
       context_.endpoints.Choose(MakeQuery(), context_.loop.Now(), context_.random);
@@ -238,28 +166,6 @@
   }
 }
 
-void EndpointCall::ReadRateLimit(const net::Headers& headers) {
-  if (status_ == 421) {
-    // A different endpoint responds at the address of the chosen one.
-    return;
-  }
-  const std::string_view text = net::FindHeader(headers, context_.options.headers.rate_limit);
-  const std::optional<double> limit = ParseRateLimit(text);
-  if (!limit && !text.empty()) {
-    context_.events.Write("invalid_endpoint_limit", {{"id", plan_.id.value()},
-                                                     {"endpoint", endpoint_.value()},
-                                                     {"text", std::string(text.substr(0, 64))}});
-    return;
-  }
-  if (!limit && rejected_) {
-    // Only a response to a request that was executed shows that there is no limit.
-    return;
-  }
-  if (const auto change = context_.endpoints.OnRateLimit(endpoint_, limit, context_.loop.Now())) {
-    LogRateLimitChange(context_.events, *change, "response");
-  }
-}
-
 void EndpointCall::OnData(std::string_view data) {
   received_bytes_ += data.size();
   if (rejected_) {
@@ -383,15 +289,6 @@
   Finish(Unknown{.reason = UnknownReason::kConnectionLost});
 }
 
-void EndpointCall::ReportInterruption() {
-  // An endpoint that is leaving ends by plan.
-  const RegisteredEndpoint* endpoint = context_.endpoints.Find(endpoint_);
-  if (endpoint != nullptr && endpoint->started_at_ms == endpoint_started_at_ms_ &&
-      endpoint->state == EndpointState::kReady) {
-    context_.crashes.OnInterrupted(*endpoint, Fingerprints(), /*unanswered=*/received_bytes_ == 0);
-  }
-}
-
 void EndpointCall::OnInterrupted(bool timed_out) {
   ++possible_runs_;
   if (!timed_out) {
@@ -449,15 +346,6 @@
   Finish(outcome);
 }
 
-RequestFingerprints EndpointCall::Fingerprints() const {
-  return MakeFingerprints(context_.fingerprint_key,
-                          {.credentials = net::FindHeader(plan_.headers, "authorization"),
-                           .method = plan_.method,
-                           .host = net::FindHeader(plan_.headers, "host"),
-                           .target = plan_.target,
-                           .body = std::string_view(plan_.body).substr(plan_.added_bytes)});
-}
-
 void EndpointCall::LogAttempt(AttemptResult result) const {
   context_.events.Write("attempt_failed",
                         {{"id", plan_.id.value()},
