--- a/src/gateway/rate_limited_call_test.cc
+++ b/src/gateway/rate_limited_call_test.cc
@@ -123,6 +123,28 @@
   BOOST_TEST((targets == std::vector<std::string>{"/first", "/third"}));
 }
 
+// Guards against a request that is sent after its wait although it has been found to crash
+// endpoints in the meantime.
+BOOST_AUTO_TEST_CASE(waiting_call_of_a_quarantined_request_is_refused) {
+  limit = "4";
+  Call("/first");
+  RunUntilDone();
+  UseUpPermits();
+  Call("/second");
+  const RequestFingerprints request =
+      MakeFingerprints(context.fingerprint_key, {.method = "GET", .target = "/second"});
+  for (const char* id : {"a", "b", "c"}) {
+    context.crashes.OnReports(
+        DaemonId("other"),
+        {.crashes = {{.endpoint = EndpointId(id), .requests = {{.request = request.whole}}}}});
+  }
+  RunUntilDone();
+  const auto* refused = std::get_if<NotRun>(&*outcomes[1]);
+  BOOST_REQUIRE(refused != nullptr);
+  BOOST_TEST((refused->reason == NotRunReason::kCrashesEndpoints));
+  BOOST_TEST((targets == std::vector<std::string>{"/first"}));
+}
+
 // Guards against daemons that use a limit alone because they are not told of it, or that do not
 // divide it.
 BOOST_AUTO_TEST_CASE(daemons_tell_each_other_of_limits) {
