--- a/src/gateway/crashing_request_test.cc
+++ b/src/gateway/crashing_request_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "src/gateway/endpoint_call.h"
+#include "src/gateway/test_headers.h"
 #include "src/net/test_support.h"
 
 namespace acaciaspring::gateway {
@@ -17,15 +18,7 @@
 
 /// @brief Endpoints that crash when they get the request with the body "deadly".
 struct Fixture {
-  Fixture()
-      : context(loop,
-                {.self = {.id = DaemonId("self")},
-                 .headers = {.request_id = "x-id",
-                             .deadline_ms = "x-deadline",
-                             .expected_endpoint = "x-endpoint",
-                             .priority = "x-priority",
-                             .not_executed = "x-not-executed",
-                             .rate_limit = "x-limit"}}) {
+  Fixture() : context(loop, {.self = {.id = DaemonId("self")}, .headers = MakeTestHeaderNames()}) {
     std::vector<RegisteredEndpoint> endpoints;
     for (std::size_t i = 0; i < kEndpoints; ++i) {
       servers.push_back(std::make_unique<net::HttpServer>(
--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "src/gateway/test_headers.h"
 #include "src/net/http_test_support.h"
 
 namespace acaciaspring::gateway {
@@ -17,12 +18,7 @@
   Fixture()
       : context(loop,
                 {.self = {.id = DaemonId("self")},
-                 .headers = {.request_id = "x-id",
-                             .deadline_ms = "x-deadline",
-                             .expected_endpoint = "x-endpoint",
-                             .priority = "x-priority",
-                             .not_executed = "x-not-executed",
-                             .rate_limit = "x-limit"},
+                 .headers = MakeTestHeaderNames(),
                  .max_response_bytes = kMaxResponseBytes}) {
     context.endpoints.SetEndpoints(
         {{.id = EndpointId("e"), .service = kService, .address = server.address(), .slots = 1}});
--- a/src/gateway/rate_limit_load_test.cc
+++ b/src/gateway/rate_limit_load_test.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -78,7 +77,7 @@
 
   /// @brief Starts or restarts a daemon, which knows nothing but the members.
   void Start(std::size_t index) {
-    daemons_[index] = std::make_unique<Daemon>(members_[index], endpoints_, options_.engines, now_);
+    daemons_[index] = std::make_unique<Daemon>(members_[index], endpoints_, options_.engines);
     daemons_[index]->presence.SetMembers(members_, now_);
     for (const auto& [other, daemon] : daemons_) {
       if (greets_ && other != index) {
@@ -98,8 +97,8 @@
   void Run(Duration period) {
     for (const MonotonicTime end = now_ + period; now_ < end; now_ += kStep) {
       const double calls = options_.calls_per_second * std::chrono::duration<double>(kStep).count();
-      for (std::poisson_distribution<int> arrivals(calls); int i : Range(arrivals(random_))) {
-        static_cast<void>(i);
+      std::poisson_distribution<int> arrivals(calls);
+      for (int arrived = arrivals(random_); arrived > 0; --arrived) {
         Call();
       }
       while (!running_.empty() && running_.begin()->first <= now_) {
@@ -149,22 +148,16 @@
 
  private:
   struct Daemon {
-    Daemon(const Member& member,
-           const std::vector<RegisteredEndpoint>& endpoints,
-           bool engines,
-           MonotonicTime now)
+    Daemon(const Member& member, const std::vector<RegisteredEndpoint>& endpoints, bool engines)
         : table(member.zone, {.self = member.id}), presence(member.id) {
       table.SetEndpoints(endpoints);
       table.SetEngineMemory(kService, TokenCount(engines ? 1000 : 0));
-      static_cast<void>(now);
     }
     EndpointTable table;
     MemberPresence presence;
     EndpointId last_endpoint;
   };
 
-  static std::vector<int> Range(int count) { return std::vector<int>(count); }
-
   bool Reaches(std::size_t from, std::size_t to) const {
     return (from < cut_off_) == (to < cut_off_);
   }
--- a/src/gateway/rate_limited_call_test.cc
+++ b/src/gateway/rate_limited_call_test.cc
@@ -3,6 +3,7 @@
 
 #include "src/gateway/endpoint_call.h"
 #include "src/gateway/rate_limit_exchange.h"
+#include "src/gateway/test_headers.h"
 #include "src/net/test_support.h"
 
 namespace acaciaspring::gateway {
@@ -21,14 +22,7 @@
                  targets.push_back(request.path);
                  responder->Respond(200, {{"x-limit", limit}}, "");
                }),
-        context(loop,
-                {.self = {.id = DaemonId("self")},
-                 .headers = {.request_id = "x-id",
-                             .deadline_ms = "x-deadline",
-                             .expected_endpoint = "x-endpoint",
-                             .priority = "x-priority",
-                             .not_executed = "x-not-executed",
-                             .rate_limit = "x-limit"}}) {
+        context(loop, {.self = {.id = DaemonId("self")}, .headers = MakeTestHeaderNames()}) {
     context.endpoints.SetEndpoints(
         {{.id = kEndpoint, .service = kService, .address = server.address(), .slots = 8}});
   }
--- a/src/gateway/test_daemon.h
+++ b/src/gateway/test_daemon.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "src/gateway/test_headers.h"
 #include "src/gateway/turn_router.h"
 #include "src/ledger/test_store.h"
 #include "src/net/test_support.h"
@@ -74,12 +75,7 @@
         context(event_loop,
                 {.self = {.id = DaemonId("self")},
                  .partition_count = kPartitionCount,
-                 .headers = {.request_id = "x-id",
-                             .deadline_ms = "x-deadline",
-                             .expected_endpoint = "x-endpoint",
-                             .priority = "x-priority",
-                             .not_executed = "x-not-executed",
-                             .rate_limit = "x-limit"}}),
+                 .headers = MakeTestHeaderNames()}),
         ownership(context,
                   test_store,
                   [this] { loop.Post([this] { router.RetryWaitingTurns(); }); }),
