Count the losses of requests as crashes are reported

When many endpoints crash at once, for example with a zone, every daemon reports each crash to all others. Each report counted all evidence again, 858 us of processor time with full evidence (new benchmark AddCrashReport, beside load), so a few thousand reports would have held a daemon for seconds. Found by reading.

Change: the losses of each request are counted as they come, and the search for culprits runs only if some request was lost often enough. 3.7 us a report.

--- a/src/gateway/crash_evidence.cc
+++ b/src/gateway/crash_evidence.cc
@@ -13,19 +13,46 @@
   const auto [crash, is_new] = crashes_.try_emplace({report.endpoint, report.started_at_ms});
   crash->second.at = is_new ? at : std::min(crash->second.at, at);
   for (const LostRequest& lost : report.requests) {
-    if (crash->second.requests.size() < options_.max_requests_per_crash) {
-      LostRequest& known = crash->second.requests.try_emplace(lost.request, lost).first->second;
-      known.unanswered = known.unanswered || lost.unanswered;
+    if (crash->second.requests.size() >= options_.max_requests_per_crash) {
+      break;
+    }
+    const auto [known, is_new_loss] = crash->second.requests.try_emplace(lost.request, lost);
+    known->second.unanswered = known->second.unanswered || lost.unanswered;
+    if (is_new_loss) {
+      AddLoss(lost.request);
     }
   }
   if (crashes_.size() > options_.max_crashes) {
-    crashes_.erase(std::min_element(
+    RemoveCrash(std::min_element(
         crashes_.begin(), crashes_.end(),
         [](const auto& left, const auto& right) { return left.second.at < right.second.at; }));
   }
   Update();
 }
 
+void CrashEvidence::AddLoss(RequestFingerprint request) {
+  if (++losses_[request] == options_.crashes_to_quarantine) {
+    ++suspects_;
+  }
+}
+
+void CrashEvidence::RemoveLoss(RequestFingerprint request) {
+  const auto found = losses_.find(request);
+  if (found->second-- == options_.crashes_to_quarantine) {
+    --suspects_;
+  }
+  if (found->second == 0) {
+    losses_.erase(found);
+  }
+}
+
+void CrashEvidence::RemoveCrash(std::map<RunKey, Crash>::iterator crash) {
+  for (const auto& [request, lost] : crash->second.requests) {
+    RemoveLoss(request);
+  }
+  crashes_.erase(crash);
+}
+
 std::set<RequestFingerprint> CrashEvidence::Quarantined() const {
   std::set<RequestFingerprint> requests;
   for (const auto& [request, suspect] : quarantined_) {
@@ -35,20 +62,27 @@
 }
 
 bool CrashEvidence::Clear(RequestFingerprint request) {
-  std::size_t erased = 0;
-  for (auto& [run, crash] : crashes_) {
-    erased += crash.requests.erase(request);
+  if (!losses_.contains(request)) {
+    return false;
   }
-  if (erased > 0) {
-    Update();
+  for (auto& [run, crash] : crashes_) {
+    if (crash.requests.erase(request) > 0) {
+      RemoveLoss(request);
+    }
   }
-  return erased > 0;
+  Update();
+  return true;
 }
 
 void CrashEvidence::Expire(MonotonicTime now) {
-  const std::size_t erased = std::erase_if(
-      crashes_, [&](const auto& crash) { return now - crash.second.at >= options_.validity; });
-  if (erased > 0) {
+  const std::size_t former = crashes_.size();
+  for (auto crash = crashes_.begin(); crash != crashes_.end();) {
+    const auto current = crash++;
+    if (now - current->second.at >= options_.validity) {
+      RemoveCrash(current);
+    }
+  }
+  if (crashes_.size() != former) {
     Update();
   }
 }
@@ -57,10 +91,13 @@
   return crashes_.contains({endpoint, started_at_ms});
 }
 
-std::map<RequestFingerprint, CrashEvidence::Suspect> CrashEvidence::CountCrashes() const {
+std::map<RequestFingerprint, CrashEvidence::Suspect> CrashEvidence::FindSuspects() const {
   std::map<RequestFingerprint, Suspect> suspects;
   for (const auto& [run, crash] : crashes_) {
     for (const auto& [request, lost] : crash.requests) {
+      if (losses_.at(request) < options_.crashes_to_quarantine) {
+        continue;
+      }
       Suspect& suspect = suspects[request];
       ++suspect.crashes;
       suspect.unanswered += lost.unanswered ? 1 : 0;
@@ -73,7 +110,10 @@
 
 void CrashEvidence::Update() {
   quarantined_.clear();
-  const auto suspects = CountCrashes();
+  if (suspects_ == 0) {
+    return;
+  }
+  const auto suspects = FindSuspects();
   // The request with the most crashes explains these; other requests on the same endpoints were
   // only beside it.
   std::vector<const Crash*> unexplained;
@@ -84,6 +124,9 @@
     std::map<RequestFingerprint, Count> counts;
     for (const Crash* crash : unexplained) {
       for (const auto& [request, lost] : crash->requests) {
+        if (!suspects.contains(request)) {
+          continue;
+        }
         Count& count = counts[request];
         count.first = count.crashes == 0 ? crash->at : std::min(count.first, crash->at);
         count.last = std::max(count.last, crash->at);
@@ -149,14 +192,13 @@
 }
 
 std::vector<CrashReport> CrashEvidence::MakeReports(MonotonicTime now) const {
-  const auto suspects = CountCrashes();
   std::vector<CrashReport> reports;
   for (const auto& [run, crash] : crashes_) {
     CrashReport report{.endpoint = run.first,
                        .started_at_ms = run.second,
                        .age_us = std::chrono::duration_cast<Duration>(now - crash.at).count()};
     for (const auto& [request, lost] : crash.requests) {
-      if (suspects.at(request).crashes > 1) {
+      if (losses_.at(request) > 1) {
         report.requests.push_back(lost);
       }
     }
--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -108,10 +109,18 @@
   std::optional<Quarantine> Find(RequestFingerprint fingerprint, MonotonicTime now) const;
   void Update();
   bool IsConclusive(const Count& count, const std::vector<const Crash*>& unexplained) const;
-  std::map<RequestFingerprint, Suspect> CountCrashes() const;
+  /// @brief Requests that were lost in enough crashes to be quarantined.
+  std::map<RequestFingerprint, Suspect> FindSuspects() const;
+  void AddLoss(RequestFingerprint request);
+  void RemoveLoss(RequestFingerprint request);
+  void RemoveCrash(std::map<RunKey, Crash>::iterator crash);
 
   CrashEvidenceOptions options_;
   std::map<RunKey, Crash> crashes_;
+  /// Number of crashes in which each request was lost.
+  std::unordered_map<RequestFingerprint, std::size_t> losses_;
+  /// Number of requests that were lost in enough crashes to be quarantined.
+  std::size_t suspects_ = 0;
   std::map<RequestFingerprint, Suspect> quarantined_;
 };
 
--- a/src/main/decision_bench.cc
+++ b/src/main/decision_bench.cc
@@ -107,6 +107,23 @@
 }
 BENCHMARK(CheckQuarantine)->Arg(0)->Arg(17'000);
 
+// Time to add a report to full evidence: many endpoints crash, and each loses other requests.
+void AddCrashReport(benchmark::State& state) {
+  constexpr std::uint64_t kRequests = 20;
+  gateway::CrashEvidence evidence;
+  std::uint64_t run = 0;
+  for ([[maybe_unused]] auto unused : state) {
+    ++run;
+    gateway::CrashReport report{.endpoint = Endpoint(run)};
+    for (std::uint64_t i = 0; i < kRequests; ++i) {
+      report.requests.push_back(
+          {.request = gateway::RequestFingerprint(run * kRequests + i), .unanswered = true});
+    }
+    evidence.Add(report, At(run));
+  }
+}
+BENCHMARK(AddCrashReport);
+
 QueuedCall RandomCall(std::uint64_t id, std::mt19937_64& random) {
   static const std::vector<PriorityClassId> kClasses{
       PriorityClassId("urgent"), PriorityClassId("normal"), PriorityClassId("batch")};
