--- a/review/support/stand_ins.h
+++ b/review/support/stand_ins.h
@@ -150,6 +150,7 @@
   void Start();
   void Signal(int signal_number);
   bool running() const { return running_; }
+  int pid() const { return process_.pid; }
   /// @brief Times that the process ended without a signal from this object.
   std::uint32_t unexpected_ends() const { return unexpected_ends_; }
   net::Address front() const { return {.ip = options_.ip, .port = 8149}; }
