--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -1,4 +1,5 @@
-// A server sends answers without a length. It resets the connection midway through every second one.
+// A server sends answers without a length. It resets the connection midway through one in
+// fifty of them.
 #include <mutex>
 #include <set>
 #include <thread>
@@ -11,7 +12,8 @@
 
 namespace {
 
-constexpr int kRequests = 60;
+constexpr int kRequests = 750;
+constexpr int kResetEvery = 50;
 constexpr std::size_t kBodyBytes = 800;
 
 }  // namespace
@@ -22,8 +24,8 @@
   std::set<std::string> reset_ids;
   int answers = 0;
   RawServer tool([&](const std::string&, const std::string& id) {
-    std::this_thread::sleep_for(10ms);
-    const bool reset = trouble && ++answers % 2 == 0;
+    std::this_thread::sleep_for(5ms);
+    const bool reset = trouble && ++answers % kResetEvery == 0;
     std::string bytes = "HTTP/1.1 200 OK\r\nacaciaspring-request-id: " + id +
                         "\r\nacaciaspring-server-stamp: tool-0." + id +
                         "\r\nconnection: close\r\n\r\n" + std::string(kBodyBytes, 'x');
