--- a/review/support/deployment.cc
+++ b/review/support/deployment.cc
@@ -63,18 +63,25 @@
 
 std::string MakeRegistryEntry(const std::string& service,
                               const net::Address& address,
+                              const std::string& zone,
                               std::uint32_t slots,
                               std::int64_t born_ms,
                               std::uint64_t sequence) {
-  return R"({"service":")" + service + R"(","address":")" + address.ToString() +
-         R"(","zone":"z0","version":"v1","slots":)" + std::to_string(slots) +
+  return R"({"service":")" + service + R"(","address":")" + address.ToString() + R"(","zone":")" +
+         zone + R"(","version":"v1","slots":)" + std::to_string(slots) +
          R"(,"state":"ready","cold_left_ms":0,"born":)" + std::to_string(born_ms) +
          R"(,"sequence":)" + std::to_string(sequence) + "}";
 }
 
 std::string Server::RegistryEntry() {
-  return MakeRegistryEntry(options_.service, server_->address(), options_.slots, born_ms_,
-                           ++sequence_);
+  return MakeRegistryEntry(options_.service, server_->address(), options_.zone, options_.slots,
+                           born_ms_, ++sequence_);
+}
+
+void Server::Crash() {
+  record_.Write("server " + options_.id + ": crashes");
+  timers_.clear();
+  server_.reset();
 }
 
 void Server::Handle(const net::HttpRequest& request, const net::HttpResponderPtr& responder) {
@@ -207,12 +214,11 @@
   const std::string subnet = "127." + std::to_string(1 + random_ % 200) + "." +
                              std::to_string(1 + random_ / 256 % 200) + ".";
   for (std::uint32_t i = 0; i < daemons; ++i) {
-    daemons_.push_back(std::make_unique<Daemon>(
-        loop_, record_, store_,
-        DaemonOptions{.ip = subnet + std::to_string(10 + i),
-                      .name = "front-" + std::to_string(i),
-                      .zone = "z" + std::to_string(i % 3),
-                      .directory = directory_}));
+    daemons_.push_back(std::make_unique<Daemon>(loop_, record_, store_,
+                                                DaemonOptions{.ip = subnet + std::to_string(10 + i),
+                                                              .name = "front-" + std::to_string(i),
+                                                              .zone = "z" + std::to_string(i % 3),
+                                                              .directory = directory_}));
   }
   loop_.OnSignal(SIGTERM, [this] {
     for (const auto& daemon : daemons_) {
@@ -250,9 +256,18 @@
       R"("idle_timeout_ms":15000}})");
 }
 
-void Deployment::AddServer(const ServerOptions& options) {
+Server& Deployment::AddServer(const ServerOptions& options) {
   servers_.push_back(std::make_unique<Server>(loop_, record_, options));
   registry_[options.id] = [server = servers_.back().get()] { return server->RegistryEntry(); };
+  return *servers_.back();
+}
+
+void Deployment::Crash(Server& server) {
+  server.Crash();
+  registry_.erase(server.id());
+  removals_.push_back(loop_.After(3 * kRegistrationPeriod, [this, id = server.id()] {
+    store_.WriteKey("keyed.servers", id, "");
+  }));
 }
 
 void Deployment::Register(const std::string& id,
@@ -260,7 +275,7 @@
                           const net::Address& address) {
   constexpr std::uint32_t kSlots = 6;
   registry_[id] = [service, address, born_ms = NowMs(), sequence = std::uint64_t{0}]() mutable {
-    return MakeRegistryEntry(service, address, kSlots, born_ms, ++sequence);
+    return MakeRegistryEntry(service, address, "z0", kSlots, born_ms, ++sequence);
   };
 }
 
@@ -332,6 +347,8 @@
                   {"acaciaspring-deadline-ms", std::to_string(kTurnDeadline.count() / 1000)},
                   {"acaciaspring-program-id", request.program},
                   {"acaciaspring-session-id", request.program},
+                  {"acaciaspring-program-deadline-ms",
+                   std::to_string(request.program_deadline.count() / 1000)},
                   {"acaciaspring-token-budget", std::to_string(request.budget)},
                   {"acaciaspring-token-usage",
                    "1460," + std::to_string(kMaxEvents * kTokensPerEvent)}},
@@ -347,7 +364,15 @@
                 std::to_string(request.input.size()) + " bytes");
   calls_.push_back(client_.Send(
       std::move(http),
-      {.on_head = [answer](int status, const net::Headers&) { answer->status = status; },
+      {.on_head =
+           [answer](int status, const net::Headers& headers) {
+             answer->status = status;
+             const std::string retry_after(net::FindHeader(headers, "retry-after"));
+             if (!retry_after.empty()) {
+               answer->retry_after = std::chrono::duration_cast<Duration>(
+                   std::chrono::duration<double>(std::stod(retry_after)));
+             }
+           },
        .on_data =
            [answer, parser](std::string_view data) {
              if (answer->status != 200) {
@@ -363,10 +388,10 @@
              answer->done = true;
              answer->whole =
                  std::holds_alternative<net::HttpFinished>(result) && answer->status == 200;
-             record_.Write("caller: turn " + id + " gets status " + std::to_string(answer->status) +
-                           ", " + std::to_string(answer->events) + " events, " +
-                           (std::holds_alternative<net::HttpFinished>(result) ? "whole"
-                                                                              : "broken off"));
+             record_.Write(
+                 "caller: turn " + id + " gets status " + std::to_string(answer->status) + ", " +
+                 std::to_string(answer->events) + " events, " +
+                 (std::holds_alternative<net::HttpFinished>(result) ? "whole" : "broken off"));
            }}));
   return answer;
 }
--- a/review/support/stand_ins.h
+++ b/review/support/stand_ins.h
@@ -104,6 +104,7 @@
   std::string service = {};
   /// Streams events if set, otherwise answers with one body.
   bool streams = false;
+  std::string zone = "z0";
   std::uint32_t events = kMaxEvents;
   Duration event_interval = std::chrono::milliseconds(10);
   std::uint32_t slots = 24;
@@ -115,12 +116,17 @@
   Server(net::Loop& loop, Record& record, ServerOptions options);
   const std::string& id() const { return options_.id; }
   std::string RegistryEntry();
+  /// @brief Ends the process of the server: its listener and all its connections are closed.
+  void Crash();
+  bool running() const { return server_ != nullptr; }
   /// @brief The bodies of the requests that were run, by request id.
   const std::map<std::string, std::vector<std::string>>& runs() const { return runs_; }
 
  private:
   void Handle(const net::HttpRequest& request, const net::HttpResponderPtr& responder);
-  void SendEvent(const net::HttpResponderPtr& responder, const std::string& id, std::uint32_t index);
+  void SendEvent(const net::HttpResponderPtr& responder,
+                 const std::string& id,
+                 std::uint32_t index);
 
   net::Loop& loop_;
   Record& record_;
@@ -173,6 +179,8 @@
   std::uint64_t budget = 100'000;
   std::string previous_turn = {};
   std::string input = {};
+  /// Time until the program should be finished.
+  Duration program_deadline = std::chrono::seconds(12);
 };
 
 struct TurnAnswer {
@@ -183,6 +191,8 @@
   std::uint32_t events = 0;
   /// Data of the events, each followed by a line feed.
   std::string output = {};
+  /// From the Retry-After header.
+  Duration retry_after = {};
   std::uint32_t tokens() const { return events * kTokensPerEvent; }
 };
 
@@ -207,7 +217,9 @@
   Store& store() { return store_; }
   std::vector<std::unique_ptr<Daemon>>& daemons() { return daemons_; }
   std::vector<std::unique_ptr<Server>>& servers() { return servers_; }
-  void AddServer(const ServerOptions& options);
+  Server& AddServer(const ServerOptions& options);
+  /// @brief Crashes a server. Its entry disappears after three intervals without a renewal.
+  void Crash(Server& server);
   /// @brief Registers a server that the case runs itself.
   void Register(const std::string& id, const std::string& service, const net::Address& address);
   /// @brief Starts all daemons and waits until a first turn is answered whole.
@@ -236,6 +248,7 @@
   std::map<std::string, std::function<std::string()>> registry_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
   net::Timer registration_;
+  std::list<net::Timer> removals_;
   net::HttpClient client_;
   std::list<std::shared_ptr<net::HttpCall>> calls_;
   std::uint64_t next_id_ = 0;
@@ -245,6 +258,7 @@
 /// @brief The registry entry of a ready server.
 std::string MakeRegistryEntry(const std::string& service,
                               const net::Address& address,
+                              const std::string& zone,
                               std::uint32_t slots,
                               std::int64_t born_ms,
                               std::uint64_t sequence);
