--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -62,8 +62,9 @@
     }
   }
   deployment.record().Write(std::to_string(kRequests) + " orders, " + std::to_string(whole) +
-                            " whole answers, " + std::to_string(resets) + " answers reset midway, " +
-                            std::to_string(mixed) + " of these framed as complete");
+                            " whole answers, " + std::to_string(resets) +
+                            " answers reset midway, " + std::to_string(mixed) +
+                            " of these framed as complete");
   if (whole == 0) {
     return kCouldNotRun;
   }
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,6 +1,8 @@
-// Kills all daemons during two outages of the store and counts the tokens that one program gets.
-#include <csignal>
+// A server sends a header without a value before the request id. With one answer in forty it also
+// sends a second copy, at the point where the next answer is expected.
+#include <thread>
 
+#include "review/support/raw_server.h"
 #include "review/support/stand_ins.h"
 
 using namespace review;
@@ -8,65 +10,57 @@
 
 namespace {
 
-constexpr std::uint64_t kTurnTokens = std::uint64_t{kMaxEvents} * kTokensPerEvent;
-constexpr std::uint64_t kBudget = 3 * kTurnTokens;
-constexpr int kOutages = 2;
-constexpr int kSpent = 402;
+constexpr int kRequests = 400;
+constexpr int kCopyEvery = 40;
 
-void RestartAll(Deployment& deployment) {
-  for (const auto& daemon : deployment.daemons()) {
-    daemon->Signal(SIGKILL);
-  }
-  deployment.Sleep(2s);
-  for (const auto& daemon : deployment.daemons()) {
-    daemon->Start();
-  }
+std::string MakeAnswer(const std::string& id) {
+  const std::string body = "done " + id;
+  return "HTTP/1.1 200 OK\r\nvary:\r\nacaciaspring-request-id: " + id +
+         "\r\nacaciaspring-server-stamp: tool-0." + id +
+         "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 }  // namespace
 
 int main(int, char** argv) {
   const bool trouble = TroubleWanted();
-  Deployment deployment(argv[1], {.retention = 20s}, 3);
-  for (int i = 0; i < 3; ++i) {
-    deployment.AddServer(
-        {.id = "engine-" + std::to_string(i), .service = "engines", .streams = true});
-  }
+  int answers = 0;
+  std::string former_id;
+  std::atomic<int> copies = 0;
+  RawServer tool([&](const std::string&, const std::string& id) {
+    std::this_thread::sleep_for(5ms);
+    std::string bytes;
+    if (trouble && ++answers % kCopyEvery == 0) {
+      bytes = MakeAnswer(former_id);
+      ++copies;
+    }
+    former_id = id;
+    return RawAnswer{.bytes = bytes + MakeAnswer(id), .keep = true};
+  });
+  Deployment deployment(argv[1], {}, 3);
+  deployment.AddServer({.id = "engine-0", .service = "engines", .streams = true});
+  deployment.Register("tool-0", "tools", tool.address());
   if (!deployment.StartAll()) {
     return kCouldNotRun;
   }
-  std::uint64_t tokens = 0;
-  const auto run_turn = [&] {
-    const TurnAnswer answer = deployment.Run({.id = deployment.NewId(),
-                                              .path = "/thread/1",
-                                              .program = "program-1",
-                                              .budget = kBudget,
-                                              .input = "turn;"},
-                                             *deployment.daemons().front());
-    tokens += answer.tokens();
-    return answer;
-  };
-  for (int i = 0; i < kOutages; ++i) {
-    if (trouble) {
-      deployment.store().SetDown(true);
-    }
-    run_turn();
-    if (trouble) {
-      RestartAll(deployment);
-      deployment.store().SetDown(false);
-      deployment.Sleep(4s);
-      if (!deployment.WaitUntilServing(15s)) {
-        return kCouldNotRun;
-      }
+  int whole = 0;
+  int mixed = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = deployment.NewId();
+    const CallAnswer answer = deployment.Call(id, *deployment.daemons().front());
+    const bool success = answer.whole && answer.status == 200;
+    whole += success && answer.body == "done " + id ? 1 : 0;
+    if (success && answer.body != "done " + id) {
+      ++mixed;
+      deployment.record().Write("MIXED: order " + id + " gets the answer \"" + answer.body + "\"");
     }
   }
-  bool spent = false;
-  for (int i = 0; i < 30 && !spent; ++i) {
-    spent = run_turn().status == kSpent;
-    deployment.Sleep(100ms);
+  deployment.record().Write(std::to_string(kRequests) + " orders, " + std::to_string(whole) +
+                            " got their own answer, " + std::to_string(copies) +
+                            " late second copies were sent, " + std::to_string(mixed) +
+                            " orders got the answer to another one");
+  if (whole == 0) {
+    return kCouldNotRun;
   }
-  deployment.record().Write("program-1 got " + std::to_string(tokens) + " tokens; its budget is " +
-                            std::to_string(kBudget) + ", and " + std::to_string(kTurnTokens) +
-                            " for one turn more");
-  return tokens > kBudget + kTurnTokens ? kBroken : kHeld;
+  return mixed > 0 ? kBroken : kHeld;
 }
--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -1,9 +1,5 @@
-// Callers send turns whose input is near the largest body that the manifest allows. The stand-in of the
-// platform kills a daemon that exceeds its memory and starts it again.
-#include <unistd.h>
-
+// Kills all daemons during two outages of the store and counts the tokens that one program gets.
 #include <csignal>
-#include <cstdio>
 
 #include "review/support/stand_ins.h"
 
@@ -12,80 +8,65 @@
 
 namespace {
 
-constexpr std::size_t kLargeInput = 4'100'000;  // the manifest allows 4,194,304
-constexpr std::size_t kSmallInput = 1'900'000;  // fits into one call of the store
-constexpr std::uint64_t kMemoryLimitMb = 220;
-constexpr int kPrograms = 8;
-// A turn that fails is sent again at most twice.
-constexpr int kTries = 3;
-constexpr std::uint32_t kMaxEnds = 3;
+constexpr std::uint64_t kTurnTokens = std::uint64_t{kMaxEvents} * kTokensPerEvent;
+constexpr std::uint64_t kBudget = 3 * kTurnTokens;
+constexpr int kOutages = 2;
+constexpr int kSpent = 402;
 
-/// @brief Resident memory of a process.
-std::uint64_t ResidentMb(int pid) {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
-  std::uint64_t size = 0;
-  std::uint64_t resident = 0;
-  file >> size >> resident;
-  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)) >> 20U;
+void RestartAll(Deployment& deployment) {
+  for (const auto& daemon : deployment.daemons()) {
+    daemon->Signal(SIGKILL);
+  }
+  deployment.Sleep(2s);
+  for (const auto& daemon : deployment.daemons()) {
+    daemon->Start();
+  }
 }
 
 }  // namespace
 
 int main(int, char** argv) {
-  const std::size_t input_bytes = TroubleWanted() ? kLargeInput : kSmallInput;
-  Deployment deployment(argv[1], {}, 3);
+  const bool trouble = TroubleWanted();
+  Deployment deployment(argv[1], {.retention = 20s}, 3);
   for (int i = 0; i < 3; ++i) {
-    deployment.AddServer({.id = "engine-" + std::to_string(i),
-                          .service = "engines",
-                          .streams = true,
-                          .events = 8});
+    deployment.AddServer(
+        {.id = "engine-" + std::to_string(i), .service = "engines", .streams = true});
   }
   if (!deployment.StartAll()) {
     return kCouldNotRun;
   }
-  auto& daemons = deployment.daemons();
-  std::vector<std::uint32_t> ends(daemons.size());
-  std::vector<std::uint64_t> peaks(daemons.size());
-  const net::Timer platform = deployment.loop().Every(50ms, [&] {
-    for (std::size_t i = 0; i < daemons.size(); ++i) {
-      if (!daemons[i]->running()) {
-        daemons[i]->Start();
-        continue;
-      }
-      const std::uint64_t resident = ResidentMb(daemons[i]->pid());
-      peaks[i] = std::max(peaks[i], resident);
-      if (resident > kMemoryLimitMb) {
-        ++ends[i];
-        deployment.record().Write("platform: daemon front-" + std::to_string(i) + " uses " +
-                                  std::to_string(resident) + " MB, the limit is " +
-                                  std::to_string(kMemoryLimitMb) + " MB");
-        daemons[i]->Signal(SIGKILL);
-      }
+  std::uint64_t tokens = 0;
+  const auto run_turn = [&] {
+    const TurnAnswer answer = deployment.Run({.id = deployment.NewId(),
+                                              .path = "/thread/1",
+                                              .program = "program-1",
+                                              .budget = kBudget,
+                                              .input = "turn;"},
+                                             *deployment.daemons().front());
+    tokens += answer.tokens();
+    return answer;
+  };
+  for (int i = 0; i < kOutages; ++i) {
+    if (trouble) {
+      deployment.store().SetDown(true);
     }
-  });
-  int whole = 0;
-  for (int program = 0; program < kPrograms; ++program) {
-    bool answered = false;
-    for (int i = 0; i < kTries && !answered; ++i) {
-      answered = deployment
-                     .Run({.id = deployment.NewId(),
-                           .program = "program-" + std::to_string(program),
-                           .input = std::string(input_bytes, 'x')},
-                          *daemons[static_cast<std::size_t>(i) % daemons.size()])
-                     .whole;
-      deployment.Sleep(300ms);
+    run_turn();
+    if (trouble) {
+      RestartAll(deployment);
+      deployment.store().SetDown(false);
+      deployment.Sleep(4s);
+      if (!deployment.WaitUntilServing(15s)) {
+        return kCouldNotRun;
+      }
     }
-    whole += answered ? 1 : 0;
   }
-  std::uint32_t often = 0;
-  for (std::size_t i = 0; i < daemons.size(); ++i) {
-    often += ends[i] >= kMaxEnds ? 1 : 0;
-    deployment.record().Write("daemon front-" + std::to_string(i) + ": memory at its peak " +
-                              std::to_string(peaks[i]) + " MB, ended " + std::to_string(ends[i]) +
-                              " times over the limit");
+  bool spent = false;
+  for (int i = 0; i < 30 && !spent; ++i) {
+    spent = run_turn().status == kSpent;
+    deployment.Sleep(100ms);
   }
-  deployment.record().Write(std::to_string(kPrograms) + " programs sent a turn of " +
-                            std::to_string(input_bytes) + " bytes, " + std::to_string(whole) +
-                            " were answered whole");
-  return often >= 2 ? kBroken : kHeld;
+  deployment.record().Write("program-1 got " + std::to_string(tokens) + " tokens; its budget is " +
+                            std::to_string(kBudget) + ", and " + std::to_string(kTurnTokens) +
+                            " for one turn more");
+  return tokens > kBudget + kTurnTokens ? kBroken : kHeld;
 }
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,8 +1,10 @@
-// A server sends a header without a value before the request id. With one answer in forty it also sends
-// a second copy, at the point where the next answer is expected.
-#include <thread>
+// Callers send turns whose input is near the largest body that the manifest allows. The stand-in of
+// the platform kills a daemon that exceeds its memory and starts it again.
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdio>
 
-#include "review/support/raw_server.h"
 #include "review/support/stand_ins.h"
 
 using namespace review;
@@ -10,57 +12,78 @@
 
 namespace {
 
-constexpr int kRequests = 400;
-constexpr int kCopyEvery = 40;
+constexpr std::size_t kLargeInput = 4'100'000;  // the manifest allows 4,194,304
+constexpr std::size_t kSmallInput = 1'900'000;  // fits into one call of the store
+constexpr std::uint64_t kMemoryLimitMb = 220;
+constexpr int kPrograms = 8;
+// A turn that fails is sent again at most twice.
+constexpr int kTries = 3;
+constexpr std::uint32_t kMaxEnds = 3;
 
-std::string MakeAnswer(const std::string& id) {
-  const std::string body = "done " + id;
-  return "HTTP/1.1 200 OK\r\nvary:\r\nacaciaspring-request-id: " + id +
-         "\r\nacaciaspring-server-stamp: tool-0." + id +
-         "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+/// @brief Resident memory of a process.
+std::uint64_t ResidentMb(int pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+  std::uint64_t size = 0;
+  std::uint64_t resident = 0;
+  file >> size >> resident;
+  return resident * static_cast<std::uint64_t>(sysconf(_SC_PAGESIZE)) >> 20U;
 }
 
 }  // namespace
 
 int main(int, char** argv) {
-  const bool trouble = TroubleWanted();
-  int answers = 0;
-  std::string former_id;
-  std::atomic<int> copies = 0;
-  RawServer tool([&](const std::string&, const std::string& id) {
-    std::this_thread::sleep_for(5ms);
-    std::string bytes;
-    if (trouble && ++answers % kCopyEvery == 0) {
-      bytes = MakeAnswer(former_id);
-      ++copies;
-    }
-    former_id = id;
-    return RawAnswer{.bytes = bytes + MakeAnswer(id), .keep = true};
-  });
+  const std::size_t input_bytes = TroubleWanted() ? kLargeInput : kSmallInput;
   Deployment deployment(argv[1], {}, 3);
-  deployment.AddServer({.id = "engine-0", .service = "engines", .streams = true});
-  deployment.Register("tool-0", "tools", tool.address());
+  for (int i = 0; i < 3; ++i) {
+    deployment.AddServer(
+        {.id = "engine-" + std::to_string(i), .service = "engines", .streams = true, .events = 8});
+  }
   if (!deployment.StartAll()) {
     return kCouldNotRun;
   }
+  auto& daemons = deployment.daemons();
+  std::vector<std::uint32_t> ends(daemons.size());
+  std::vector<std::uint64_t> peaks(daemons.size());
+  const net::Timer platform = deployment.loop().Every(50ms, [&] {
+    for (std::size_t i = 0; i < daemons.size(); ++i) {
+      if (!daemons[i]->running()) {
+        daemons[i]->Start();
+        continue;
+      }
+      const std::uint64_t resident = ResidentMb(daemons[i]->pid());
+      peaks[i] = std::max(peaks[i], resident);
+      if (resident > kMemoryLimitMb) {
+        ++ends[i];
+        deployment.record().Write("platform: daemon front-" + std::to_string(i) + " uses " +
+                                  std::to_string(resident) + " MB, the limit is " +
+                                  std::to_string(kMemoryLimitMb) + " MB");
+        daemons[i]->Signal(SIGKILL);
+      }
+    }
+  });
   int whole = 0;
-  int mixed = 0;
-  for (int i = 0; i < kRequests; ++i) {
-    const std::string id = deployment.NewId();
-    const CallAnswer answer = deployment.Call(id, *deployment.daemons().front());
-    const bool success = answer.whole && answer.status == 200;
-    whole += success && answer.body == "done " + id ? 1 : 0;
-    if (success && answer.body != "done " + id) {
-      ++mixed;
-      deployment.record().Write("MIXED: order " + id + " gets the answer \"" + answer.body + "\"");
+  for (int program = 0; program < kPrograms; ++program) {
+    bool answered = false;
+    for (int i = 0; i < kTries && !answered; ++i) {
+      answered = deployment
+                     .Run({.id = deployment.NewId(),
+                           .program = "program-" + std::to_string(program),
+                           .input = std::string(input_bytes, 'x')},
+                          *daemons[static_cast<std::size_t>(i) % daemons.size()])
+                     .whole;
+      deployment.Sleep(300ms);
     }
+    whole += answered ? 1 : 0;
   }
-  deployment.record().Write(std::to_string(kRequests) + " orders, " + std::to_string(whole) +
-                            " got their own answer, " + std::to_string(copies) +
-                            " late second copies were sent, " + std::to_string(mixed) +
-                            " orders got the answer to another one");
-  if (whole == 0) {
-    return kCouldNotRun;
+  std::uint32_t often = 0;
+  for (std::size_t i = 0; i < daemons.size(); ++i) {
+    often += ends[i] >= kMaxEnds ? 1 : 0;
+    deployment.record().Write("daemon front-" + std::to_string(i) + ": memory at its peak " +
+                              std::to_string(peaks[i]) + " MB, ended " + std::to_string(ends[i]) +
+                              " times over the limit");
   }
-  return mixed > 0 ? kBroken : kHeld;
+  deployment.record().Write(std::to_string(kPrograms) + " programs sent a turn of " +
+                            std::to_string(input_bytes) + " bytes, " + std::to_string(whole) +
+                            " were answered whole");
+  return often >= 2 ? kBroken : kHeld;
 }
