--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,5 +1,5 @@
-// Callers send turns whose input is near the largest body that the manifest allows. The stand-in of
-// the platform kills a daemon that exceeds its memory and starts it again.
+// Two callers send turns whose input is near the largest body that the manifest allows. The
+// stand-in of the platform kills a daemon that exceeds its memory and starts it again.
 #include <unistd.h>
 
 #include <csignal>
@@ -15,7 +15,8 @@
 constexpr std::size_t kLargeInput = 4'100'000;  // the manifest allows 4,194,304
 constexpr std::size_t kSmallInput = 1'900'000;  // fits into one call of the store
 constexpr std::uint64_t kMemoryLimitMb = 220;
-constexpr int kPrograms = 8;
+constexpr int kRounds = 7;
+constexpr std::size_t kCallers = 2;
 // A turn that fails is sent again at most twice.
 constexpr int kTries = 3;
 constexpr std::uint32_t kMaxEnds = 3;
@@ -62,18 +63,29 @@
     }
   });
   int whole = 0;
-  for (int program = 0; program < kPrograms; ++program) {
-    bool answered = false;
-    for (int i = 0; i < kTries && !answered; ++i) {
-      answered = deployment
-                     .Run({.id = deployment.NewId(),
-                           .program = "program-" + std::to_string(program),
-                           .input = std::string(input_bytes, 'x')},
-                          *daemons[static_cast<std::size_t>(i) % daemons.size()])
-                     .whole;
+  for (int round = 0; round < kRounds; ++round) {
+    std::array<std::shared_ptr<TurnAnswer>, kCallers> answers;
+    for (int i = 0; i < kTries; ++i) {
+      for (std::size_t caller = 0; caller < kCallers; ++caller) {
+        if (answers[caller] == nullptr || !answers[caller]->whole) {
+          answers[caller] = deployment.Send(
+              {.id = deployment.NewId(),
+               .program = "program-" + std::to_string(round) + "-" + std::to_string(caller),
+               .input = std::string(input_bytes, 'x')},
+              *daemons[(static_cast<std::size_t>(i) + caller) % daemons.size()]);
+        }
+      }
+      deployment.Wait(
+          [&] {
+            return std::all_of(answers.begin(), answers.end(),
+                               [](const auto& answer) { return answer->done; });
+          },
+          6s);
       deployment.Sleep(300ms);
     }
-    whole += answered ? 1 : 0;
+    for (const auto& answer : answers) {
+      whole += answer->whole ? 1 : 0;
+    }
   }
   std::uint32_t often = 0;
   for (std::size_t i = 0; i < daemons.size(); ++i) {
@@ -82,7 +94,7 @@
                               std::to_string(peaks[i]) + " MB, ended " + std::to_string(ends[i]) +
                               " times over the limit");
   }
-  deployment.record().Write(std::to_string(kPrograms) + " programs sent a turn of " +
+  deployment.record().Write(std::to_string(kRounds * kCallers) + " programs sent a turn of " +
                             std::to_string(input_bytes) + " bytes, " + std::to_string(whole) +
                             " were answered whole");
   return often >= 2 ? kBroken : kHeld;
