Do not complete a response without a length whose connection was reset

Cause: libuv reports UV_EOF without a further read when a hang-up follows the data of a short read, also if the hang-up is a reset. HttpConnection took UV_EOF for an orderly end, so the ECONNRESET behind the data was never seen. A failed write can consume the error as well, after which the read returns 0.

Change: a close-delimited response is complete only if the socket reports the end of the stream, which Linux does only after a FIN, and no write was reset.

--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -99,6 +99,22 @@
   BOOST_TEST(std::holds_alternative<NotRun>(*outcome));
 }
 
+// Guards against a response or a stream without a length that the endpoint resets midway and that
+// is delivered as complete.
+BOOST_AUTO_TEST_CASE(reset_response_without_a_length_is_not_complete) {
+  for (const RequestKind kind : {RequestKind::kAtMostOnce, RequestKind::kStream}) {
+    for (const bool reset : {true, false}) {
+      server.connections().clear();
+      outcome.reset();
+      Start(kind);
+      server.connections()[0]->Send("HTTP/1.1 200 OK\r\nx-id: a\r\n\r\ndata: part\n\n");
+      server.connections()[0]->Close(reset);
+      net::RunUntil(loop, [this] { return outcome.has_value(); });
+      BOOST_TEST(std::holds_alternative<Completed>(*outcome) == !reset);
+    }
+  }
+}
+
 // Guards against unbounded memory and against calls that last until their deadline, when an
 // endpoint sends bytes without end in a head or a body.
 BOOST_AUTO_TEST_CASE(responses_without_end_are_broken_off) {
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -82,10 +82,12 @@
       uv_buf_init(request_.body.data(), static_cast<unsigned>(request_.body.size()))};
   write_.data = this;
   writing_ = true;
-  // A write error is ignored: a server can reject a request before it has read all of it, and its
-  // response may still be readable. Without a response the read fails as well.
-  const auto on_written = [](uv_write_t* request, int) {
-    static_cast<HttpConnection*>(request->data)->writing_ = false;
+  // A write error does not end the exchange: a server can reject a request before it has read all of
+  // it, and its response may still be readable. Without a response the read fails as well.
+  const auto on_written = [](uv_write_t* request, int status) {
+    auto* const self = static_cast<HttpConnection*>(request->data);
+    self->writing_ = false;
+    self->reset_ = self->reset_ || status == UV_ECONNRESET;
   };
   if (uv_write(&write_, stream(), buffers.data(), request_.body.empty() ? 1 : 2, on_written) != 0) {
     writing_ = false;
@@ -123,7 +125,7 @@
 
 bool HttpConnection::CompleteOnEof() {
   // At the end of the connection the parser completes only a response without a length.
-  if (!request_.accept_close_delimited || stale_ ||
+  if (!request_.accept_close_delimited || stale_ || !HasOrderlyEnd() ||
       http_parser_execute(&parser_, &ParserSettings(), nullptr, 0) != 0 || !complete_) {
     return false;
   }
@@ -305,15 +307,32 @@
   });
 }
 
-bool HttpConnection::IsUsable() {
+HttpConnection::ReceiveState HttpConnection::PeekReceiveState() {
   uv_os_fd_t fd = -1;
   if (closed_ || uv_fileno(reinterpret_cast<uv_handle_t*>(&socket_), &fd) != 0) {
-    return false;
+    return ReceiveState::kFailed;
   }
-  // The server may have closed the connection without the loop having processed it yet.
   char byte = 0;
   const ssize_t received = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return received < 0 && (errno == EAGAIN || errno == EINTR);
+  if (received > 0) {
+    return ReceiveState::kData;
+  }
+  if (received == 0) {
+    return ReceiveState::kEnd;
+  }
+  return errno == EAGAIN || errno == EINTR ? ReceiveState::kOpen : ReceiveState::kFailed;
+}
+
+bool HttpConnection::HasOrderlyEnd() {
+  // libuv reports UV_EOF without a further read when a hang-up follows the data that it has read,
+  // also if the hang-up is a reset. The error of a reset is returned only once, by the read or by a
+  // write that came before it.
+  return !reset_ && PeekReceiveState() == ReceiveState::kEnd;
+}
+
+bool HttpConnection::IsUsable() {
+  // The server may have closed the connection without the loop having processed it yet.
+  return PeekReceiveState() == ReceiveState::kOpen;
 }
 
 }  // namespace acaciaspring::net
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 #include <uv.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -58,14 +59,20 @@
   std::optional<Duration> keep_alive_timeout() const { return keep_alive_timeout_; }
 
  private:
+  /// What the next read of the socket would find.
+  enum class ReceiveState : std::uint8_t { kOpen, kData, kEnd, kFailed };
+
   static const http_parser_settings& ParserSettings();
   void StartReading();
   void OnRead(ssize_t size, const uv_buf_t* buffer);
   void Parse(std::string_view data);
   void Disconnect();
-  /// @brief Handles a clean close by the server. Returns true if it completes a close-delimited
+  /// @brief Handles the end of the connection. Returns true if it completes a close-delimited
   /// response.
   bool CompleteOnEof();
+  ReceiveState PeekReceiveState();
+  /// @brief True if the server has closed the connection and not reset it.
+  bool HasOrderlyEnd();
   void StartParser();
   bool IsStaleResponse() const;
   bool LacksExpectedEcho() const;
@@ -98,6 +105,8 @@
   /// The server has echoed the id of a request on this connection.
   bool echo_seen_ = false;
   bool writing_ = false;
+  /// A write found that the server has reset the connection.
+  bool reset_ = false;
   bool in_exchange_ = false;
   bool keep_alive_ = false;
   bool complete_ = false;
--- a/src/net/http_response_test.cc
+++ b/src/net/http_response_test.cc
@@ -11,14 +11,13 @@
 
 /// @brief Returns the result of a request to a server that sends `response` and then closes or
 /// resets the connection.
-HttpReply GetRaw(const std::string& response,
-                 bool reset = false,
-                 const std::string& method = "GET") {
+HttpReply GetRaw(const std::string& response, bool reset = false, HttpClientRequest request = {}) {
   Loop loop;
   HttpClient client(loop, {});
   RawServer server(loop);
   std::optional<HttpReply> reply;
-  Fetch(client, {.server = server.address(), .method = method}, kMaxTestBodyBytes,
+  request.server = server.address();
+  Fetch(client, std::move(request), kMaxTestBodyBytes,
         [&](HttpReply result) { reply = std::move(result); });
   RunUntil(loop, [&] {
     return !server.connections().empty() && !server.connections()[0]->received().empty();
@@ -70,6 +69,50 @@
   BOOST_TEST(Describe(reply.result) == "finished 204");
 }
 
+// Guards against a response without a length that the server resets midway and that is reported as
+// complete.
+BOOST_AUTO_TEST_CASE(reset_response_without_a_length_is_interrupted) {
+  const HttpClientRequest request{.accept_close_delimited = true};
+  const std::vector<std::string> heads = {
+      "HTTP/1.1 200 OK\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+      "HTTP/1.0 200 OK\r\n\r\n",
+      "HTTP/1.1 500 Error\r\n\r\n",
+  };
+  for (const std::string& head : heads) {
+    for (const std::size_t body_bytes : {0, 1, 65536, 150'000}) {
+      const std::string body(body_bytes, 'x');
+      BOOST_TEST(Describe(GetRaw(head + body, /*reset=*/true, request).result) == "interrupted",
+                 head << body_bytes);
+      const HttpReply whole = GetRaw(head + body, /*reset=*/false, request);
+      BOOST_TEST(std::holds_alternative<HttpFinished>(whole.result), head << body_bytes);
+      BOOST_TEST((whole.body == body), head << body_bytes);
+    }
+  }
+}
+
+// Guards against the same when sending the rest of the request consumes the socket's error.
+BOOST_AUTO_TEST_CASE(reset_while_sending_interrupts_a_response_without_a_length) {
+  Loop loop;
+  HttpClient client(loop, {});
+  RawServer server(loop);
+  std::optional<HttpResult> result;
+  constexpr std::size_t kMoreThanSocketBuffers = std::size_t{64} << 20;
+  const auto call = client.Send(
+      {.server = server.address(),
+       .method = "POST",
+       .body = std::string(kMoreThanSocketBuffers, 'x'),
+       .accept_close_delimited = true},
+      {.on_data = [&](std::string_view) { server.connections()[0]->Close(/*reset=*/true); },
+       .on_done = [&](const HttpResult& done) { result = done; }});
+  RunUntil(loop, [&] {
+    return !server.connections().empty() && !server.connections()[0]->received().empty();
+  });
+  server.connections()[0]->Send("HTTP/1.1 200 OK\r\n\r\nhalf");
+  RunUntil(loop, [&] { return result.has_value(); });
+  BOOST_TEST(Describe(*result) == "interrupted");
+}
+
 // Guards against loss of a response that arrives before the complete request is sent, and against
 // reuse of a connection on which the rest of a request is still to be sent.
 BOOST_AUTO_TEST_CASE(response_may_arrive_before_the_request_is_sent) {
