Keep a response header apart from one without a value before it

Such a header before the stamp hid the stamp.

Cause: HttpConnection took a header for finished only when its value had bytes, and appended the next name to the name of the empty one. The echoed id was missing, so the copy could not be recognised.

Change: the parser's state notes that a value has begun, whatever its length.

Requests of callers are parsed by h2o; handler_receives_each_header passed at once.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -82,8 +82,8 @@
       uv_buf_init(request_.body.data(), static_cast<unsigned>(request_.body.size()))};
   write_.data = this;
   writing_ = true;
-  // A write error does not end the exchange: a server can reject a request before it has read all of
-  // it, and its response may still be readable. Without a response the read fails as well.
+  // A write error does not end the exchange: a server can reject a request before it has read all
+  // of it, and its response may still be readable. Without a response the read fails as well.
   const auto on_written = [](uv_write_t* request, int status) {
     auto* const self = static_cast<HttpConnection*>(request->data);
     self->writing_ = false;
@@ -103,6 +103,7 @@
   headers_.clear();
   header_name_.clear();
   header_value_.clear();
+  in_header_value_ = false;
 }
 
 void HttpConnection::OnRead(ssize_t size, const uv_buf_t* buffer) {
@@ -176,13 +177,15 @@
     http_parser_settings callbacks{};
     callbacks.on_header_field = [](http_parser* parser, const char* data, size_t size) {
       HttpConnection& self = FromParser(parser);
-      if (!self.header_value_.empty()) {
+      if (self.in_header_value_) {
         self.StoreHeader();
       }
       self.header_name_.append(data, size);
       return 0;
     };
     callbacks.on_header_value = [](http_parser* parser, const char* data, size_t size) {
+      // Also called, with no bytes, for a header without a value.
+      FromParser(parser).in_header_value_ = true;
       FromParser(parser).header_value_.append(data, size);
       return 0;
     };
@@ -204,12 +207,13 @@
   headers_.emplace_back(LowerCase(header_name_), std::move(header_value_));
   header_name_.clear();
   header_value_.clear();
+  in_header_value_ = false;
 }
 
 int HttpConnection::OnHeadersComplete() {
   constexpr int kNoBody = 1;
   constexpr int kStop = -1;
-  if (!header_name_.empty()) {
+  if (in_header_value_) {
     StoreHeader();
   }
   if (IsInformational(parser_)) {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -95,6 +95,8 @@
   Headers headers_;
   std::string header_name_;
   std::string header_value_;
+  /// The value of the header being read has begun. It may be empty.
+  bool in_header_value_ = false;
   std::optional<Duration> keep_alive_timeout_;
   /// The response being read belongs to an earlier request.
   bool stale_ = false;
--- a/src/net/http_response_test.cc
+++ b/src/net/http_response_test.cc
@@ -113,6 +113,35 @@
   BOOST_TEST(Describe(*result) == "interrupted");
 }
 
+// Guards against headers that are lost or joined, because one has no value, comes twice, or arrives
+// in several reads.
+BOOST_AUTO_TEST_CASE(each_header_keeps_its_name_and_value) {
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nvary:\r\nX-Id: a\r\nempty: \r\n\tb:\r\nx-id: b\r\nlast:\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\ntrailer:\r\nx-id: c\r\n\r\n";
+  const Headers expected = {{"vary", ""},  {"x-id", "a"}, {"empty", "b:"},
+                            {"x-id", "b"}, {"last", ""},  {"transfer-encoding", "chunked"}};
+  for (const std::size_t step : {response.size(), std::size_t{1}, std::size_t{3}}) {
+    Loop loop;
+    HttpClient client(loop, {});
+    RawServer server(loop);
+    std::optional<HttpReply> reply;
+    Fetch(client, {.server = server.address()}, kMaxTestBodyBytes,
+          [&](HttpReply result) { reply = std::move(result); });
+    RunUntil(loop, [&] {
+      return !server.connections().empty() && !server.connections()[0]->received().empty();
+    });
+    for (std::size_t i = 0; i < response.size(); i += step) {
+      server.connections()[0]->Send(response.substr(i, step));
+      RunUntil(loop, [turns = 0]() mutable { return ++turns > 2; });
+    }
+    RunUntil(loop, [&] { return reply.has_value(); });
+    BOOST_TEST(Describe(reply->result) == "finished 200");
+    BOOST_TEST(reply->body == "full");
+    BOOST_TEST((reply->headers == expected), step);
+  }
+}
+
 // Guards against loss of a response that arrives before the complete request is sent, and against
 // reuse of a connection on which the rest of a request is still to be sent.
 BOOST_AUTO_TEST_CASE(response_may_arrive_before_the_request_is_sent) {
--- a/src/net/http_server_test.cc
+++ b/src/net/http_server_test.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <random>
 
 #include "acaciaspring/net.h"
@@ -49,6 +50,24 @@
   BOOST_TEST(Contains(client.received(), "x-answer: yes\r\n"));
 }
 
+// Guards against headers of a request that are lost or joined, because one has no value or comes
+// twice.
+BOOST_AUTO_TEST_CASE(handler_receives_each_header) {
+  Loop loop;
+  std::optional<HttpRequest> seen;
+  HttpServer server(loop, LoopbackOptions(),
+                    [&](HttpRequest request, const HttpResponderPtr& responder) {
+                      seen = std::move(request);
+                      responder->Respond(200, {}, "");
+                    });
+  RawConnection client(loop, server.address());
+  client.Send("GET / HTTP/1.1\r\nHost: test\r\nvary:\r\nX-Id: a\r\nempty: \r\nx-id: b\r\n\r\n");
+  RunUntil(loop, [&] { return seen.has_value(); });
+  const Headers expected = {
+      {"host", "test"}, {"vary", ""}, {"x-id", "a"}, {"empty", ""}, {"x-id", "b"}};
+  BOOST_TEST((seen->headers == expected));
+}
+
 // Guards against a first token that is buffered in the server until the response is complete.
 BOOST_AUTO_TEST_CASE(streamed_data_is_sent_immediately) {
   Loop loop;
--- a/src/net/late_response_test.cc
+++ b/src/net/late_response_test.cc
@@ -120,6 +120,32 @@
   }
 }
 
+// Guards against a second copy that reaches the next caller, because a header without a value hides
+// the id that follows it.
+BOOST_AUTO_TEST_CASE(second_copy_is_recognised_behind_a_header_without_a_value) {
+  int request = 0;
+  for (const std::string empty : {"vary:\r\n", "vary: \t \r\n", "a:\r\nb:\r\na: \r\n"}) {
+    const std::string first = "r" + std::to_string(++request);
+    const std::string second = "r" + std::to_string(++request);
+    const auto respond = [&](const std::string& id, const std::string& body) {
+      return "HTTP/1.1 200 OK\r\n" + empty + std::string(kEchoHeader) + ": " + id +
+             "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    Start(first);
+    RawConnection& connection = WaitForAnyRequest();
+    connection.Send(respond(first, "first"));
+    WaitForReply();
+    BOOST_TEST(reply->body == "first");
+    Start(second);
+    RawConnection& next = WaitForAnyRequest();
+    BOOST_TEST(&next == &connection);
+    next.Send(respond(first, "first") + respond(second, "second"));
+    WaitForReply();
+    BOOST_TEST(Describe(reply->result) == "finished 200", empty);
+    BOOST_TEST(reply->body == "second", empty);
+  }
+}
+
 // Guards against further copies on a connection whose server repeats itself.
 BOOST_AUTO_TEST_CASE(connection_with_a_second_copy_is_not_used_again) {
   Start("a");
