Do not hold crashes at one moment, or a common beginning, against requests

Cause: crashes were counted one by one, so a failed zone gave the evidence of four crashes, and the first 512 bytes of a body were a suspect of their own, although all turns of an agent begin with its instruction. Only a completed turn could clear it, and none was sent any more.

Change: a crash counts only for an attempt that started after the crash counted before it; a request counts for an earlier one only if its body continues the whole body of that one.

--- a/src/gateway/crash_evidence.cc
+++ b/src/gateway/crash_evidence.cc
@@ -1,10 +1,23 @@
 #include "src/gateway/crash_evidence.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace acaciaspring::gateway {
 
+namespace {
+
+// Losses from which a request counts as repeated.
+constexpr std::size_t kRepeated = 2;
+
+std::vector<std::uint64_t> Shortest(const std::set<std::uint64_t>& sizes, std::size_t count) {
+  return {sizes.begin(),
+          std::next(sizes.begin(), static_cast<std::ptrdiff_t>(std::min(count, sizes.size())))};
+}
+
+}  // namespace
+
 void CrashEvidence::Add(const CrashReport& report, MonotonicTime now) {
   const MonotonicTime at = now - std::max(Duration(report.age_us), Duration(0));
   if (at + options_.validity <= now) {
@@ -16,10 +29,14 @@
     if (crash->second.requests.size() >= options_.max_requests_per_crash) {
       break;
     }
-    const auto [known, is_new_loss] = crash->second.requests.try_emplace(lost.request, lost);
-    known->second.unanswered = known->second.unanswered || lost.unanswered;
+    const MonotonicTime started_at = at - std::max(Duration(lost.running_us), Duration(0));
+    const auto [known, is_new_loss] = crash->second.requests.try_emplace(
+        lost.request, Loss{.lost = lost, .started_at = started_at});
+    known->second.lost.whole = known->second.lost.whole || lost.whole;
+    known->second.lost.unanswered = known->second.lost.unanswered || lost.unanswered;
+    known->second.started_at = std::max(known->second.started_at, started_at);
     if (is_new_loss) {
-      AddLoss(lost.request);
+      AddLoss(lost);
     }
   }
   if (crashes_.size() > options_.max_crashes) {
@@ -30,25 +47,62 @@
   Update();
 }
 
-void CrashEvidence::AddLoss(RequestFingerprint request) {
-  if (++losses_[request] == options_.crashes_to_quarantine) {
+void CrashEvidence::AddLoss(const LostRequest& lost) {
+  const std::size_t losses = ++losses_[lost.request];
+  if (losses == options_.crashes_to_quarantine) {
     ++suspects_;
   }
+  if (losses == kRepeated && lost.body_bytes > kStartBytes) {
+    repeated_[lost.start][lost.request] = lost.body_bytes;
+  }
 }
 
-void CrashEvidence::RemoveLoss(RequestFingerprint request) {
-  const auto found = losses_.find(request);
-  if (found->second-- == options_.crashes_to_quarantine) {
+void CrashEvidence::RemoveLoss(const LostRequest& lost) {
+  const auto found = losses_.find(lost.request);
+  const std::size_t losses = found->second--;
+  if (losses == options_.crashes_to_quarantine) {
     --suspects_;
   }
+  if (losses == kRepeated) {
+    if (const auto alike = repeated_.find(lost.start); alike != repeated_.end()) {
+      alike->second.erase(lost.request);
+      if (alike->second.empty()) {
+        repeated_.erase(alike);
+      }
+    }
+  }
   if (found->second == 0) {
     losses_.erase(found);
   }
 }
 
+std::vector<std::uint64_t> CrashEvidence::LostSizes(RequestFingerprint start) const {
+  std::set<std::uint64_t> sizes;
+  for (const auto& [run, crash] : crashes_) {
+    for (const auto& [request, loss] : crash.requests) {
+      if (loss.lost.start == start && loss.lost.body_bytes > kStartBytes) {
+        sizes.insert(loss.lost.body_bytes);
+      }
+    }
+  }
+  return Shortest(sizes, options_.max_shorter_forms);
+}
+
+std::vector<std::uint64_t> CrashEvidence::RepeatedSizes(RequestFingerprint start) const {
+  const auto alike = repeated_.find(start);
+  if (alike == repeated_.end()) {
+    return {};
+  }
+  std::set<std::uint64_t> sizes;
+  for (const auto& [request, body_bytes] : alike->second) {
+    sizes.insert(body_bytes);
+  }
+  return Shortest(sizes, options_.max_shorter_forms);
+}
+
 void CrashEvidence::RemoveCrash(std::map<RunKey, Crash>::iterator crash) {
-  for (const auto& [request, lost] : crash->second.requests) {
-    RemoveLoss(request);
+  for (const auto& [request, loss] : crash->second.requests) {
+    RemoveLoss(loss.lost);
   }
   crashes_.erase(crash);
 }
@@ -66,8 +120,8 @@
     return false;
   }
   for (auto& [run, crash] : crashes_) {
-    if (crash.requests.erase(request) > 0) {
-      RemoveLoss(request);
+    if (const auto loss = crash.requests.extract(request)) {
+      RemoveLoss(loss.mapped().lost);
     }
   }
   Update();
@@ -94,14 +148,14 @@
 std::map<RequestFingerprint, CrashEvidence::Suspect> CrashEvidence::FindSuspects() const {
   std::map<RequestFingerprint, Suspect> suspects;
   for (const auto& [run, crash] : crashes_) {
-    for (const auto& [request, lost] : crash.requests) {
+    for (const auto& [request, loss] : crash.requests) {
       if (losses_.at(request) < options_.crashes_to_quarantine) {
         continue;
       }
       Suspect& suspect = suspects[request];
       ++suspect.crashes;
-      suspect.unanswered += lost.unanswered ? 1 : 0;
-      suspect.whole = lost.whole;
+      suspect.unanswered += loss.lost.unanswered ? 1 : 0;
+      suspect.whole += loss.lost.whole ? 1 : 0;
       suspect.last_crash_at = std::max(suspect.last_crash_at, crash.at);
     }
   }
@@ -120,24 +174,32 @@
   for (const auto& [run, crash] : crashes_) {
     unexplained.push_back(&crash);
   }
+  std::sort(unexplained.begin(), unexplained.end(),
+            [](const Crash* left, const Crash* right) { return left->at < right->at; });
   while (true) {
     std::map<RequestFingerprint, Count> counts;
     for (const Crash* crash : unexplained) {
-      for (const auto& [request, lost] : crash->requests) {
+      for (const auto& [request, loss] : crash->requests) {
         if (!suspects.contains(request)) {
           continue;
         }
         Count& count = counts[request];
-        count.first = count.crashes == 0 ? crash->at : std::min(count.first, crash->at);
-        count.last = std::max(count.last, crash->at);
+        if (count.crashes == 0) {
+          count.first = crash->at;
+        }
+        if (count.in_turn == 0 || loss.started_at >= count.last_in_turn) {
+          count.last_in_turn = crash->at;
+          ++count.in_turn;
+        }
+        count.last = crash->at;
         ++count.crashes;
       }
     }
     std::erase_if(counts,
                   [&](const auto& count) { return !IsConclusive(count.second, unexplained); });
-    // Among suspects that were lost together each time, a whole request is preferred to all that
-    // start like it, and one that had no answer yet is more likely to be the cause. If the choice
-    // is wrong, the next crash of the right one corrects it.
+    // Among suspects that were lost together each time, one that was lost itself is preferred to a
+    // shorter form, and one that had no answer yet is more likely to be the cause. If the choice is
+    // wrong, the next crash of the right one corrects it.
     const auto rank = [&](const auto& count) {
       const Suspect& suspect = suspects.at(count.first);
       return std::make_tuple(count.second.crashes, suspect.crashes, suspect.whole,
@@ -158,7 +220,7 @@
 
 bool CrashEvidence::IsConclusive(const Count& count,
                                  const std::vector<const Crash*>& unexplained) const {
-  if (count.crashes < options_.crashes_to_quarantine) {
+  if (count.in_turn < options_.crashes_to_quarantine) {
     return false;
   }
   // While endpoints crash by themselves, a request that is sent again is lost in several crashes by
@@ -166,15 +228,20 @@
   const auto meanwhile = std::count_if(
       unexplained.begin(), unexplained.end(),
       [&](const Crash* crash) { return crash->at >= count.first && crash->at <= count.last; });
-  return count.crashes >= options_.crashes_without_doubt ||
+  return count.in_turn >= options_.crashes_without_doubt ||
          static_cast<double>(count.crashes) >=
              options_.min_share_of_crashes * static_cast<double>(meanwhile);
 }
 
 std::optional<Quarantine> CrashEvidence::Find(const RequestFingerprints& request,
                                               MonotonicTime now) const {
-  const auto whole = Find(request.whole, now);
-  return whole ? whole : Find(request.start, now);
+  auto quarantine = Find(request.whole, now);
+  for (const ShorterForm& shorter : request.shorter) {
+    if (!quarantine) {
+      quarantine = Find(shorter.request, now);
+    }
+  }
+  return quarantine;
 }
 
 std::optional<Quarantine> CrashEvidence::Find(RequestFingerprint fingerprint,
@@ -197,9 +264,11 @@
     CrashReport report{.endpoint = run.first,
                        .started_at_ms = run.second,
                        .age_us = std::chrono::duration_cast<Duration>(now - crash.at).count()};
-    for (const auto& [request, lost] : crash.requests) {
-      if (losses_.at(request) > 1) {
-        report.requests.push_back(lost);
+    for (const auto& [request, loss] : crash.requests) {
+      if (losses_.at(request) >= kRepeated) {
+        report.requests.push_back(loss.lost);
+        report.requests.back().running_us =
+            std::chrono::duration_cast<Duration>(crash.at - loss.started_at).count();
       }
     }
     if (!report.requests.empty()) {
--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -15,16 +15,20 @@
 
 namespace acaciaspring::gateway {
 
-/// @brief One fingerprint of a request that was lost because its endpoint crashed.
+/// @brief A request that was lost because its endpoint crashed, or a shorter form of one.
 struct LostRequest {
   RequestFingerprint request = {};
-  /// The fingerprint is that of the whole request.
+  RequestFingerprint start = {};
+  std::uint64_t body_bytes = 0;
+  /// The request itself was lost, not a longer form of it.
   bool whole = true;
   /// No byte of a response body had arrived.
   bool unanswered = false;
+  /// Time from the start of the attempt to the crash.
+  std::int64_t running_us = 0;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(request, whole, unanswered);
+    archive(request, start, body_bytes, whole, unanswered, running_us);
   }
 };
 
@@ -43,7 +47,7 @@
 };
 
 struct CrashEvidenceOptions {
-  /// Crashes after which a request is quarantined.
+  /// Crashes, one after another, after which a request is quarantined.
   std::size_t crashes_to_quarantine = 3;
   /// Part of all unexplained crashes between its first and its last one in which a request must
   /// have been lost.
@@ -56,6 +60,8 @@
   std::size_t max_crashes = 256;
   /// Fingerprints kept of one crash.
   std::size_t max_requests_per_crash = 256;
+  /// Shorter forms that are looked for in one request.
+  std::size_t max_shorter_forms = 32;
 };
 
 struct Quarantine {
@@ -67,8 +73,10 @@
 /// @brief Finds the requests that crash the endpoints that run them.
 ///
 /// All requests on a crashed endpoint are suspects. A request is quarantined after it was lost in
-/// several crashes, unless quarantined requests explain these, and it is cleared once it completes.
-/// Requests whose bodies only start alike are one suspect as well, if none of them completes.
+/// several crashes one after another, unless quarantined requests explain these, and it is cleared
+/// once it completes. A request whose body continues that of another one counts as both, because a
+/// conversation comes again with a longer history. Requests whose bodies only start alike have
+/// nothing to do with each other: all requests of an agent begin with its instruction.
 class CrashEvidence {
  public:
   explicit CrashEvidence(CrashEvidenceOptions options = {}) : options_(options) {}
@@ -81,6 +89,11 @@
 
   bool empty() const { return crashes_.empty(); }
   bool HasCrash(const EndpointId& endpoint, std::int64_t started_at_ms) const;
+  bool HasLoss(RequestFingerprint request) const { return losses_.contains(request); }
+  /// @brief Body sizes of the lost requests with this start that may have longer forms.
+  std::vector<std::uint64_t> LostSizes(RequestFingerprint start) const;
+  /// @brief The same for requests that were lost more than once.
+  std::vector<std::uint64_t> RepeatedSizes(RequestFingerprint start) const;
   bool HasQuarantine() const { return !quarantined_.empty(); }
   std::set<RequestFingerprint> Quarantined() const;
   std::optional<Quarantine> Find(const RequestFingerprints& request, MonotonicTime now) const;
@@ -89,21 +102,31 @@
 
  private:
   using RunKey = std::pair<EndpointId, std::int64_t>;
+  struct Loss {
+    LostRequest lost;
+    /// Start of the latest attempt that was lost in the crash.
+    MonotonicTime started_at;
+  };
   struct Crash {
     MonotonicTime at;
-    std::map<RequestFingerprint, LostRequest> requests;
+    std::map<RequestFingerprint, Loss> requests;
   };
   /// @brief Unexplained crashes in which a request was lost.
   struct Count {
     std::size_t crashes = 0;
+    /// Those among them of attempts that started after the one before had crashed its endpoint.
+    /// Attempts that ran at the same time may have been lost by one common cause, such as the
+    /// failure of a zone.
+    std::size_t in_turn = 0;
     MonotonicTime first;
     MonotonicTime last;
+    MonotonicTime last_in_turn;
   };
   struct Suspect {
     std::size_t crashes = 0;
     std::size_t unanswered = 0;
-    /// The fingerprint is that of a whole request.
-    bool whole = false;
+    /// Crashes in which the request itself was lost, not a longer form.
+    std::size_t whole = 0;
     MonotonicTime last_crash_at;
   };
   std::optional<Quarantine> Find(RequestFingerprint fingerprint, MonotonicTime now) const;
@@ -111,14 +134,16 @@
   bool IsConclusive(const Count& count, const std::vector<const Crash*>& unexplained) const;
   /// @brief Requests that were lost in enough crashes to be quarantined.
   std::map<RequestFingerprint, Suspect> FindSuspects() const;
-  void AddLoss(RequestFingerprint request);
-  void RemoveLoss(RequestFingerprint request);
+  void AddLoss(const LostRequest& lost);
+  void RemoveLoss(const LostRequest& lost);
   void RemoveCrash(std::map<RunKey, Crash>::iterator crash);
 
   CrashEvidenceOptions options_;
   std::map<RunKey, Crash> crashes_;
   /// Number of crashes in which each request was lost.
   std::unordered_map<RequestFingerprint, std::size_t> losses_;
+  /// Body sizes by start, for the requests that were lost more than once.
+  std::unordered_map<RequestFingerprint, std::map<RequestFingerprint, std::uint64_t>> repeated_;
   /// Number of requests that were lost in enough crashes to be quarantined.
   std::size_t suspects_ = 0;
   std::map<RequestFingerprint, Suspect> quarantined_;
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -13,17 +13,17 @@
 }  // namespace
 
 void CrashMonitor::OnInterrupted(const RegisteredEndpoint& endpoint,
-                                 const RequestFingerprints& request,
-                                 bool unanswered) {
+                                 const InterruptedRequest& request) {
   const RunKey run{endpoint.id, endpoint.started_at_ms};
-  const std::vector<LostRequest> lost{
-      {.request = request.whole, .whole = true, .unanswered = unanswered},
-      {.request = request.start, .whole = false, .unanswered = unanswered}};
+  const std::vector<LostRequest> lost = MakeLosses(request);
   if (evidence_.HasCrash(run.first, run.second)) {
-    Report(run, lost);
+    Report(run, lost, loop_.Now());
     return;
   }
   Check& check = checks_[run];
+  if (check.requests.empty()) {
+    check.at = loop_.Now();
+  }
   check.requests.insert(check.requests.end(), lost.begin(), lost.end());
   if (check.connect == nullptr) {
     check.connect = std::make_unique<net::ConnectCheck>(
@@ -32,16 +32,39 @@
   }
 }
 
+std::vector<LostRequest> CrashMonitor::MakeLosses(const InterruptedRequest& request) const {
+  const RequestFingerprints& fingerprints = request.fingerprints;
+  LostRequest lost{
+      .request = fingerprints.whole,
+      .start = fingerprints.start,
+      .body_bytes = fingerprints.body_bytes,
+      .whole = true,
+      .unanswered = request.unanswered,
+      .running_us = std::chrono::duration_cast<Duration>(loop_.Now() - request.started_at).count()};
+  std::vector<LostRequest> losses{lost};
+  lost.whole = false;
+  for (const ShorterForm& shorter : fingerprints.shorter) {
+    if (evidence_.HasLoss(shorter.request)) {
+      lost.request = shorter.request;
+      lost.body_bytes = shorter.body_bytes;
+      losses.push_back(lost);
+    }
+  }
+  return losses;
+}
+
 void CrashMonitor::OnChecked(const RunKey& run, net::ConnectResult result) {
   auto checked = checks_.extract(run);
   if (result == net::ConnectResult::kRefused) {
-    Report(run, std::move(checked.mapped().requests));
+    Report(run, std::move(checked.mapped().requests), checked.mapped().at);
   }
 }
 
-void CrashMonitor::Report(const RunKey& run, std::vector<LostRequest> requests) {
-  CrashReport report{
-      .endpoint = run.first, .started_at_ms = run.second, .requests = std::move(requests)};
+void CrashMonitor::Report(const RunKey& run, std::vector<LostRequest> requests, MonotonicTime at) {
+  CrashReport report{.endpoint = run.first,
+                     .started_at_ms = run.second,
+                     .requests = std::move(requests),
+                     .age_us = std::chrono::duration_cast<Duration>(loop_.Now() - at).count()};
   AddReport(report, "self");
   if (send_) {
     send_({.crashes = {std::move(report)}});
@@ -61,10 +84,14 @@
 
 void CrashMonitor::OnCompleted(const RequestFingerprints& request) {
   PeerCrashReports reports;
-  for (const RequestFingerprint fingerprint : {request.whole, request.start}) {
+  const auto clear = [&](RequestFingerprint fingerprint) {
     if (evidence_.Clear(fingerprint)) {
       reports.cleared.push_back(fingerprint);
     }
+  };
+  clear(request.whole);
+  for (const ShorterForm& shorter : request.shorter) {
+    clear(shorter.request);
   }
   if (!reports.cleared.empty()) {
     LogChanges("self");
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -26,6 +26,14 @@
   }
 };
 
+/// @brief A request whose connection broke off.
+struct InterruptedRequest {
+  RequestFingerprints fingerprints = {};
+  /// No byte of a response body had arrived.
+  bool unanswered = false;
+  MonotonicTime started_at = {};
+};
+
 /// @brief Finds out which endpoints have crashed under which requests, and keeps the daemons'
 /// evidence in step.
 class CrashMonitor {
@@ -38,9 +46,7 @@
 
   /// @brief Records that the connection of a request broke off. It counts as evidence only if the
   /// endpoint refuses connections afterwards, so that its process has ended.
-  void OnInterrupted(const RegisteredEndpoint& endpoint,
-                     const RequestFingerprints& request,
-                     bool unanswered);
+  void OnInterrupted(const RegisteredEndpoint& endpoint, const InterruptedRequest& request);
   /// @brief Records that an endpoint has responded to the request and is still running.
   void OnCompleted(const RequestFingerprints& request);
   void OnReports(const DaemonId& daemon, const PeerCrashReports& reports);
@@ -53,10 +59,14 @@
   struct Check {
     std::unique_ptr<net::ConnectCheck> connect;
     std::vector<LostRequest> requests;
+    /// When the first connection broke off.
+    MonotonicTime at;
   };
+  /// @brief The request and those of its shorter forms that were lost before.
+  std::vector<LostRequest> MakeLosses(const InterruptedRequest& request) const;
   void OnChecked(const RunKey& run, net::ConnectResult result);
   /// @brief Adds a crash that this daemon has found, and tells the others.
-  void Report(const RunKey& run, std::vector<LostRequest> requests);
+  void Report(const RunKey& run, std::vector<LostRequest> requests, MonotonicTime at);
   void AddReport(const CrashReport& report, const std::string& source);
   /// @brief Logs which requests are now quarantined or released.
   void LogChanges(const std::string& source);
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -233,9 +233,7 @@
 
 void EndpointCall::OnResponseComplete() {
   ++possible_runs_;
-  if (!context_.crashes.evidence().empty()) {
-    context_.crashes.OnCompleted(Fingerprints());
-  }
+  ReportCompletion();
   const bool server_error = status_ >= 500;
   EndAttempt(server_error ? AttemptResult::kFailed : AttemptResult::kSucceeded);
   if (server_error && MayRunAgain() && possible_runs_ < plan_.max_attempts) {
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -58,6 +58,8 @@
   bool RefuseIfQuarantined();
   /// @brief Tells the crash monitor that the connection of the attempt broke off.
   void ReportInterruption();
+  /// @brief Clears the request of suspicion.
+  void ReportCompletion();
   /// @brief Starts an attempt if there is an endpoint for it.
   bool TryAttempt();
   EndpointQuery MakeQuery() const;
@@ -86,7 +88,7 @@
   void RetryOrFinish(const Outcome& outcome);
   void EndAttempt(AttemptResult result);
   void LogAttempt(AttemptResult result) const;
-  RequestFingerprints Fingerprints() const;
+  RequestFingerprints Fingerprints(const ShorterSizes& shorter_sizes = {}) const;
   void StartDelivery();
   void MeasureStream(std::string_view data);
   void Finish(const Outcome& outcome);
--- a/src/gateway/endpoint_call_crashes.cc
+++ b/src/gateway/endpoint_call_crashes.cc
@@ -7,7 +7,8 @@
   if (!evidence.HasQuarantine()) {
     return false;
   }
-  const RequestFingerprints fingerprints = Fingerprints();
+  const RequestFingerprints fingerprints =
+      Fingerprints([&](RequestFingerprint start) { return evidence.RepeatedSizes(start); });
   const auto quarantine = evidence.Find(fingerprints, context_.loop.Now());
   if (!quarantine) {
     return false;
@@ -31,17 +32,31 @@
   const RegisteredEndpoint* endpoint = context_.endpoints.Find(endpoint_);
   if (endpoint != nullptr && endpoint->started_at_ms == endpoint_started_at_ms_ &&
       endpoint->state == EndpointState::kReady) {
-    context_.crashes.OnInterrupted(*endpoint, Fingerprints(), /*unanswered=*/received_bytes_ == 0);
+    context_.crashes.OnInterrupted(*endpoint,
+                                   {.fingerprints = Fingerprints([this](RequestFingerprint start) {
+                                      return context_.crashes.evidence().LostSizes(start);
+                                    }),
+                                    .unanswered = received_bytes_ == 0,
+                                    .started_at = attempt_started_});
   }
 }
 
-RequestFingerprints EndpointCall::Fingerprints() const {
+void EndpointCall::ReportCompletion() {
+  const CrashEvidence& evidence = context_.crashes.evidence();
+  if (!evidence.empty()) {
+    context_.crashes.OnCompleted(
+        Fingerprints([&](RequestFingerprint start) { return evidence.RepeatedSizes(start); }));
+  }
+}
+
+RequestFingerprints EndpointCall::Fingerprints(const ShorterSizes& shorter_sizes) const {
   return MakeFingerprints(context_.fingerprint_key,
                           {.credentials = net::FindHeader(plan_.headers, "authorization"),
                            .method = plan_.method,
                            .host = net::FindHeader(plan_.headers, "host"),
                            .target = plan_.target,
-                           .body = std::string_view(plan_.body).substr(plan_.added_bytes)});
+                           .body = std::string_view(plan_.body).substr(plan_.added_bytes)},
+                          shorter_sizes);
 }
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/request_fingerprint.cc
+++ b/src/gateway/request_fingerprint.cc
@@ -9,9 +9,6 @@
 
 namespace {
 
-// Longer than the greetings and field names with which bodies begin.
-constexpr std::size_t kStartBytes = 512;
-
 RequestFingerprint MakeFingerprint(std::string_view key,
                                    std::string_view kind,
                                    const RequestContent& content,
@@ -30,9 +27,23 @@
 
 }  // namespace
 
-RequestFingerprints MakeFingerprints(std::string_view key, const RequestContent& content) {
-  return {.whole = MakeFingerprint(key, "whole", content, content.body),
-          .start = MakeFingerprint(key, "start", content, content.body.substr(0, kStartBytes))};
+RequestFingerprints MakeFingerprints(std::string_view key,
+                                     const RequestContent& content,
+                                     const ShorterSizes& shorter_sizes) {
+  RequestFingerprints fingerprints{
+      .whole = MakeFingerprint(key, "whole", content, content.body),
+      .start = MakeFingerprint(key, "start", content, content.body.substr(0, kStartBytes)),
+      .body_bytes = content.body.size()};
+  if (shorter_sizes && content.body.size() > kStartBytes) {
+    for (const std::uint64_t bytes : shorter_sizes(fingerprints.start)) {
+      if (bytes < content.body.size()) {
+        fingerprints.shorter.push_back(
+            {.request = MakeFingerprint(key, "whole", content, content.body.substr(0, bytes)),
+             .body_bytes = bytes});
+      }
+    }
+  }
+  return fingerprints;
 }
 
 std::string ToString(RequestFingerprint fingerprint) {
--- a/src/gateway/request_fingerprint.h
+++ b/src/gateway/request_fingerprint.h
@@ -1,8 +1,11 @@
 #ifndef ACACIASPRING_SRC_GATEWAY_REQUEST_FINGERPRINT_H_
 #define ACACIASPRING_SRC_GATEWAY_REQUEST_FINGERPRINT_H_
 
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "acaciaspring/base.h"
 
@@ -25,18 +28,38 @@
   std::string_view body = {};
 };
 
+/// @brief A request whose body is the first `body_bytes` of a longer one.
+struct ShorterForm {
+  RequestFingerprint request = {};
+  std::uint64_t body_bytes = 0;
+  bool operator==(const ShorterForm&) const = default;
+};
+
 struct RequestFingerprints {
   /// Of the whole request.
   RequestFingerprint whole = {};
-  /// Of the request with the start of the body only. A conversation that comes again with a longer
-  /// history has the same one.
+  /// Of the request with the start of the body only. Requests with another one have no shorter form
+  /// in common.
   RequestFingerprint start = {};
+  std::uint64_t body_bytes = 0;
+  /// Shorter forms of the request, as far as they were asked for. A conversation that comes again
+  /// with a longer history has its earlier form among them.
+  std::vector<ShorterForm> shorter = {};
   bool operator==(const RequestFingerprints&) const = default;
 };
 
+/// @brief Bodies that are not longer than this have no shorter forms.
+inline constexpr std::size_t kStartBytes = 512;
+
+/// @brief Returns the body sizes, above kStartBytes, of the shorter forms to compute for a request
+/// with the given start.
+using ShorterSizes = std::function<std::vector<std::uint64_t>(RequestFingerprint start)>;
+
 /// @brief The fingerprints under a key that only the daemons know, so that nobody can make a
 /// request with the fingerprints of another one.
-RequestFingerprints MakeFingerprints(std::string_view key, const RequestContent& content);
+RequestFingerprints MakeFingerprints(std::string_view key,
+                                     const RequestContent& content,
+                                     const ShorterSizes& shorter_sizes = {});
 /// @brief 16 hexadecimal digits.
 std::string ToString(RequestFingerprint fingerprint);
 
--- a/src/gateway/request_fingerprint_test.cc
+++ b/src/gateway/request_fingerprint_test.cc
@@ -43,6 +43,26 @@
   BOOST_TEST((fingerprints("").start != fingerprints("").whole));
 }
 
+// Guards against a longer history that is not recognised by its earlier form, and against requests
+// that only start alike and count as forms of one.
+BOOST_AUTO_TEST_CASE(shorter_form_is_the_earlier_request) {
+  const std::string instruction(600, 'a');
+  const std::string earlier = instruction + "question";
+  const auto fingerprints = [](std::string_view body, std::uint64_t shorter_bytes) {
+    return MakeFingerprints("key", {.target = "/", .body = body},
+                            [=](RequestFingerprint) { return std::vector{shorter_bytes}; });
+  };
+  const RequestFingerprint whole = fingerprints(earlier, 0).whole;
+  const auto longer = fingerprints(earlier + "answer", earlier.size());
+  BOOST_TEST((longer.shorter == std::vector{ShorterForm{whole, earlier.size()}}));
+  const auto other = fingerprints(instruction + "other question", earlier.size());
+  BOOST_TEST((other.start == longer.start));
+  BOOST_REQUIRE(other.shorter.size() == 1U);
+  BOOST_TEST((other.shorter[0].request != whole));
+  BOOST_TEST(fingerprints(earlier, earlier.size()).shorter.empty());
+  BOOST_TEST(fingerprints("short", 2).shorter.empty());
+}
+
 BOOST_AUTO_TEST_CASE(text_has_sixteen_digits) {
   BOOST_TEST(ToString(RequestFingerprint(0x1f)) == "000000000000001f");
 }
