Write records that exceed one append of the store in several appends

Cause: all pieces of a record went into one append, which the store rejects above call_bytes with 413. The rejection was taken for an outage and repeated for ever, with everything behind it in the queue, and the record was handed to another partition every 250 ms, which it blocked in turn.

Change: an append ends within a record when it is full. AppendTooLarge is a result of its own: fewer pieces are sent, and a record with a piece that is rejected alone is given up (its spend is kept). Timeouts of appends and the delays before another partition is asked grow with the bytes (part_mb_s).

The fakes reject appends above the limits now.

--- a/fakes/fake_store.cc
+++ b/fakes/fake_store.cc
@@ -10,6 +10,9 @@
 
 constexpr std::string_view kKeyedPrefix = "keyed.";
 constexpr std::size_t kMaxReadBytes = std::size_t{1} << 20;
+// Limits of one append and of one record.
+constexpr std::size_t kMaxCallBytes = std::size_t{2} << 20;
+constexpr std::size_t kMaxRecordBytes = std::size_t{256} << 10;
 
 std::string BigEndian(std::uint64_t value, int bytes) {
   std::string out;
@@ -151,6 +154,12 @@
   }
   const net::HttpRequest& request = call.request;
   StoreAppend append{.at = {}, .producer = {}, .records = SplitRecords(request.body)};
+  if (request.body.size() > kMaxCallBytes ||
+      std::any_of(append.records.begin(), append.records.end(),
+                  [](const std::string& record) { return record.size() > kMaxRecordBytes; })) {
+    RespondError(call.responder, 413, "too_large", "append exceeds the size limits");
+    return;
+  }
   if (!net::FindQueryParameter(request, "at").empty()) {
     append.at = QueryNumber(request, "at", 0);
   }
--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -255,10 +255,13 @@
 struct SequenceMismatch {
   AppendSequence expected;
 };
+/// @brief The append was rejected because it exceeds a limit of the store. Repeating it is useless.
+struct AppendTooLarge {};
 /// @brief The store did not respond, or responded that the call had no effect. The call may be
 /// repeated: a repeated append takes effect only once.
 struct StoreUnavailable {};
-using AppendResult = std::variant<Appended, Fenced, SequenceMismatch, StoreUnavailable>;
+using AppendResult =
+    std::variant<Appended, Fenced, SequenceMismatch, AppendTooLarge, StoreUnavailable>;
 
 /// @brief Pieces from offset `first` on; `end` is the offset after the last one in the partition.
 struct ReadPieces {
@@ -272,15 +275,21 @@
 };
 using ReadResult = std::variant<ReadPieces, HistoryDropped, StoreUnavailable>;
 
+/// @brief Time for a partition of the store to take `bytes`.
+Duration TransferTime(std::size_t bytes, std::uint64_t bytes_per_second);
+
 /// @brief Adaptive timeout after which an append without a response is repeated.
 class AppendTimeout {
  public:
-  AppendTimeout();
-  Duration Current() const { return current_; }
-  void OnResponse(Duration latency);
+  explicit AppendTimeout(std::uint64_t bytes_per_second = 0);
+  /// @brief Timeout of an append of the given size.
+  Duration Current(std::size_t bytes = 0) const;
+  void OnResponse(Duration latency, std::size_t bytes = 0);
   void OnTimeout();
 
  private:
+  /// 0 if the store takes any size at once.
+  std::uint64_t bytes_per_second_;
   /// Exponentially smoothed latency of the responses.
   Duration smoothed_latency_{};
   Duration current_;
@@ -316,6 +325,8 @@
   std::size_t max_append_bytes = std::size_t{2} << 20;
   /// Size of the length prefix of each piece, which the store counts towards the append size.
   std::size_t piece_overhead_bytes = 4;
+  /// Rate at which the store takes the appends of one partition; 0 if it is not limited.
+  std::uint64_t bytes_per_second = 0;
   /// Initial delay before a failed call is repeated; doubles up to the maximum.
   Duration retry_delay = std::chrono::milliseconds(30);
   Duration max_retry_delay = std::chrono::milliseconds(400);
@@ -345,9 +356,10 @@
 
   /// @brief Fences the former owner, then loads the records.
   void Start();
-  /// @brief Queues a record to be appended and, once it is durable, applied to the ledger. Calls
-  /// `on_done` with false if the partition is lost first; the record may or may not be durable
-  /// then.
+  /// @brief Queues a record to be appended and, once it is durable, applied to the ledger. A record
+  /// of many pieces takes several appends. Calls `on_done` with false if the partition is lost
+  /// first; the record may or may not be durable then. Also calls it with false if the store
+  /// rejects the turn of the record as too large; its spend is recorded nevertheless.
   void Append(const Record& record, std::function<void(bool durable)> on_done);
   /// @brief Asks the store whether this daemon still owns the partition. To be called before a
   /// record is reported as absent, because a newer owner may have written it.
@@ -370,12 +382,17 @@
   /// @brief True if a record that is appended now is expected to become durable soon: turns are
   /// admitted, the last append did not fail, and none is overdue.
   bool writable() const;
+  /// @brief Time that the store needs for the records that are not yet durable.
+  Duration BacklogTime() const;
 
  private:
   struct PendingRecord {
     Record record;
-    std::vector<std::string> pieces;
+    /// The pieces that are not yet durable.
+    std::deque<std::string> pieces;
     std::function<void(bool)> on_done;
+    /// Offset of the first piece, once it is durable.
+    std::optional<RecordOffset> offset = {};
   };
   /// @brief The end of the partition at one point in time; used to find the age of records.
   struct Checkpoint {
@@ -387,9 +404,14 @@
   void Load();
   void OnRead(const ReadResult& result);
   void Flush();
-  void SendBatch();
+  /// @brief Number of pieces at the front of the queue that fit into one append; at least one.
+  std::size_t CountPiecesToSend() const;
+  /// @brief Appends the pieces under way; a repeated append has the same pieces.
+  void SendPieces();
   void OnAppended(const AppendResult& result);
-  void FinishBatch(RecordOffset end);
+  void FinishPieces(RecordOffset end);
+  /// @brief Sends fewer pieces, or gives up the first record if a single piece is too large.
+  void OnTooLarge();
   void MarkLost();
   void SetState(State state);
   void RetryLater(void (Partition::*operation)());
@@ -405,8 +427,9 @@
   RecordOffset next_offset_{};
   AppendSequence sequence_{};
   std::deque<PendingRecord> queue_;
-  std::vector<PendingRecord> batch_;
-  MonotonicTime batch_sent_at_{};
+  /// Pieces at the front of the queue that are being appended.
+  std::size_t pieces_under_way_ = 0;
+  MonotonicTime pieces_sent_at_{};
   Duration retry_delay_{};
   std::deque<Checkpoint> checkpoints_;
   RecordOffset trimmed_before_{};
--- a/src/gateway/commit_relay.cc
+++ b/src/gateway/commit_relay.cc
@@ -13,9 +13,21 @@
 // An append takes 10 ms and a message between zones a few milliseconds; if there is no reply within
 // this time, the next recorder is asked.
 constexpr Duration kNextRecorderDelay = std::chrono::milliseconds(250);
+// The recorder may have other records to append, and the request has to reach it first.
+constexpr int kTransferMultiple = 2;
 
 }  // namespace
 
+Duration CommitRelay::NextRecorderDelay(const CommitRequest& request) const {
+  std::size_t bytes = 0;
+  for (const ledger::Turn& turn : request.turns) {
+    bytes += turn.input.size() + turn.output.size();
+  }
+  return kNextRecorderDelay +
+         kTransferMultiple *
+             ledger::TransferTime(bytes, context_.options.partition.bytes_per_second);
+}
+
 ledger::PartitionId CommitRelay::PartitionFor(const CommitRequest& request) const {
   return ledger::PartitionOf(request.program, context_.options.partition_count);
 }
@@ -84,7 +96,7 @@
     return;
   }
   ++pending.attempt;
-  pending.next_recorder_timer = context_.loop.After(kNextRecorderDelay, [this, id] {
+  pending.next_recorder_timer = context_.loop.After(NextRecorderDelay(pending.request), [this, id] {
     if (const auto found = pending_.find(id); found != pending_.end()) {
       found->second.sent_to = DaemonId();
       Dispatch(id);
--- a/src/gateway/commit_relay.h
+++ b/src/gateway/commit_relay.h
@@ -45,6 +45,8 @@
 
   void Dispatch(ExchangeId id);
   void DispatchToRecorder(ExchangeId id, Pending& pending);
+  /// @brief Time after which another recorder is asked.
+  Duration NextRecorderDelay(const CommitRequest& request) const;
   void Record(const std::shared_ptr<ledger::Partition>& partition,
               const CommitRequest& request,
               std::function<void(const CommitReply&)> on_done);
--- a/src/gateway/turn_run_record.cc
+++ b/src/gateway/turn_run_record.cc
@@ -8,6 +8,8 @@
 
 // A slow store responds in 240 ms; after a longer wait the partition is probably unavailable.
 constexpr Duration kAnyPartitionDelay = std::chrono::milliseconds(300);
+// The store may take the records of the partition at half of its rate.
+constexpr int kBacklogMultiple = 2;
 
 }  // namespace
 
@@ -29,12 +31,7 @@
   turn_record_ = record.turn;
   Settle();
   const auto self = shared_from_this();
-  if (partition_->stalled()) {
-    RecordInAnyPartition();
-  } else {
-    any_partition_timer_ =
-        context_.loop.After(kAnyPartitionDelay, [this] { RecordInAnyPartition(); });
-  }
+  const bool stalled = partition_->stalled();
   partition_->Append(record, [weak = weak_from_this()](bool durable) {
     const auto live = weak.lock();
     if (!live || live->ended_) {
@@ -46,6 +43,15 @@
       live->RecordAtNextOwner();
     }
   });
+  if (ended_) {
+    return;
+  }
+  if (stalled) {
+    RecordInAnyPartition();
+  } else {
+    const Duration delay = kAnyPartitionDelay + kBacklogMultiple * partition_->BacklogTime();
+    any_partition_timer_ = context_.loop.After(delay, [this] { RecordInAnyPartition(); });
+  }
 }
 
 void TurnRun::RecordAtNextOwner() {
--- a/src/ledger/append_timeout_test.cc
+++ b/src/ledger/append_timeout_test.cc
@@ -46,6 +46,19 @@
   BOOST_TEST((timeout.Current() > kSlowResponse * 2));
 }
 
+// Guards against large appends that are repeated before the store can have taken them, and against
+// small ones that wait longer because of them.
+BOOST_AUTO_TEST_CASE(large_append_gets_the_time_of_its_transfer) {
+  constexpr std::size_t kBytes = 2'000'000;
+  AppendTimeout timeout(10'000'000);
+  for (int i = 0; i < 20; ++i) {
+    timeout.OnResponse(kFastResponse);
+    timeout.OnResponse(kFastResponse + std::chrono::milliseconds(200), kBytes);
+  }
+  BOOST_TEST((timeout.Current(kBytes) >= std::chrono::milliseconds(400)));
+  BOOST_TEST((timeout.Current() <= kMaxAcceptableTimeout));
+}
+
 // Guards against a timeout that grows without limit during an outage of the store.
 BOOST_AUTO_TEST_CASE(timeout_is_bounded) {
   AppendTimeout timeout;
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -114,43 +114,58 @@
     on_done(false);
     return;
   }
-  queue_.push_back({.record = record,
-                    .pieces = EncodeRecord(record, options_.max_piece_bytes),
-                    .on_done = std::move(on_done)});
+  const std::vector<std::string> pieces = EncodeRecord(record, options_.max_piece_bytes);
+  queue_.push_back(
+      {.record = record, .pieces = {pieces.begin(), pieces.end()}, .on_done = std::move(on_done)});
   Flush();
 }
 
 void Partition::Flush() {
-  if (state_ != State::kServing || !batch_.empty() || queue_.empty()) {
+  if (state_ != State::kServing || pieces_under_way_ > 0 || queue_.empty()) {
     return;
   }
+  pieces_under_way_ = CountPiecesToSend();
+  SendPieces();
+}
+
+std::size_t Partition::CountPiecesToSend() const {
+  std::size_t count = 0;
   std::size_t bytes = 0;
-  while (!queue_.empty()) {
-    std::size_t size = 0;
-    for (const std::string& piece : queue_.front().pieces) {
-      size += piece.size() + options_.piece_overhead_bytes;
+  for (const PendingRecord& pending : queue_) {
+    for (const std::string& piece : pending.pieces) {
+      bytes += piece.size() + options_.piece_overhead_bytes;
+      if (count > 0 && bytes > options_.max_append_bytes) {
+        return count;
+      }
+      ++count;
     }
-    if (!batch_.empty() && bytes + size > options_.max_append_bytes) {
-      break;
+  }
+  return count;
+}
+
+Duration Partition::BacklogTime() const {
+  std::size_t bytes = 0;
+  for (const PendingRecord& pending : queue_) {
+    for (const std::string& piece : pending.pieces) {
+      bytes += piece.size();
     }
-    bytes += size;
-    batch_.push_back(std::move(queue_.front()));
-    queue_.pop_front();
   }
-  SendBatch();
+  return TransferTime(bytes, options_.bytes_per_second);
 }
 
 bool Partition::writable() const {
   const bool append_overdue =
-      !batch_.empty() && store_.Now() - batch_sent_at_ > options_.append_overdue_after;
+      pieces_under_way_ > 0 && store_.Now() - pieces_sent_at_ > options_.append_overdue_after;
   return admits() && !stalled() && !append_overdue;
 }
 
-void Partition::SendBatch() {
-  batch_sent_at_ = store_.Now();
+void Partition::SendPieces() {
+  pieces_sent_at_ = store_.Now();
   std::vector<std::string> pieces;
-  for (const PendingRecord& pending : batch_) {
-    pieces.insert(pieces.end(), pending.pieces.begin(), pending.pieces.end());
+  for (auto pending = queue_.begin(); pieces.size() < pieces_under_way_; ++pending) {
+    const std::size_t count = std::min(pending->pieces.size(), pieces_under_way_ - pieces.size());
+    pieces.insert(pieces.end(), pending->pieces.begin(),
+                  pending->pieces.begin() + static_cast<std::ptrdiff_t>(count));
   }
   store_.Append(id_, epoch_, sequence_, std::move(pieces),
                 [weak = weak_from_this()](const AppendResult& result) {
@@ -166,35 +181,72 @@
   if (const auto* appended = std::get_if<Appended>(&result)) {
     retry_delay_ = options_.retry_delay;
     ++sequence_;
-    FinishBatch(appended->end);
+    FinishPieces(appended->end);
   } else if (const auto* mismatch = std::get_if<SequenceMismatch>(&result)) {
-    // No part of this batch was appended: if an earlier attempt had succeeded, the store would have
+    // No part of this append took effect: if an earlier attempt had succeeded, the store would have
     // repeated its result.
     LOG(WARNING) << "partition " << id_ << " epoch " << epoch_
                  << ": append rejected: expected sequence " << mismatch->expected << ", sent "
                  << sequence_;
     sequence_ = mismatch->expected;
-    RetryLater(&Partition::SendBatch);
+    RetryLater(&Partition::SendPieces);
   } else if (std::holds_alternative<Fenced>(result)) {
     MarkLost();
+  } else if (std::holds_alternative<AppendTooLarge>(result)) {
+    OnTooLarge();
   } else {
-    RetryLater(&Partition::SendBatch);
+    RetryLater(&Partition::SendPieces);
   }
 }
 
-void Partition::FinishBatch(RecordOffset end) {
+void Partition::OnTooLarge() {
+  if (pieces_under_way_ > 1) {
+    pieces_under_way_ /= 2;
+    SendPieces();
+    return;
+  }
   const auto self = shared_from_this();
-  const std::vector<PendingRecord> done = std::exchange(batch_, {});
-  std::size_t pieces = 0;
-  for (const PendingRecord& pending : done) {
-    pieces += pending.pieces.size();
+  PendingRecord& first = queue_.front();
+  LOG(ERROR) << "partition " << id_ << ": the store rejects a record piece of "
+             << first.pieces.front().size() << " bytes as too large; the record is given up";
+  retrying_ = false;
+  pieces_under_way_ = 0;
+  const auto on_done = std::exchange(first.on_done, [](bool) {});
+  if (first.record.spend && first.record.turn) {
+    // The next record of the program counts on the ceiling of this one.
+    first.record.turn.reset();
+    const std::vector<std::string> pieces = EncodeRecord(first.record, options_.max_piece_bytes);
+    first.pieces = {pieces.begin(), pieces.end()};
+    first.offset.reset();
+  } else {
+    queue_.pop_front();
+  }
+  on_done(false);
+  Flush();
+}
+
+void Partition::FinishPieces(RecordOffset end) {
+  const auto self = shared_from_this();
+  std::size_t remaining = std::exchange(pieces_under_way_, 0);
+  RecordOffset offset(end.value() - std::min<std::uint64_t>(end.value(), remaining));
+  next_offset_ = end;
+  std::vector<PendingRecord> done;
+  while (remaining > 0) {
+    PendingRecord& first = queue_.front();
+    first.offset = first.offset.value_or(offset);
+    const std::size_t durable = std::min(remaining, first.pieces.size());
+    first.pieces.erase(first.pieces.begin(),
+                       first.pieces.begin() + static_cast<std::ptrdiff_t>(durable));
+    offset += RecordOffset(durable);
+    remaining -= durable;
+    if (first.pieces.empty()) {
+      done.push_back(std::move(first));
+      queue_.pop_front();
+    }
   }
-  RecordOffset offset(end.value() - std::min<std::uint64_t>(end.value(), pieces));
   for (const PendingRecord& pending : done) {
-    ledger_.Apply(pending.record, offset, store_.Now());
-    offset += RecordOffset(pending.pieces.size());
+    ledger_.Apply(pending.record, *pending.offset, store_.Now());
   }
-  next_offset_ = end;
   for (const PendingRecord& pending : done) {
     pending.on_done(true);
   }
@@ -204,11 +256,8 @@
 void Partition::MarkLost() {
   const auto self = shared_from_this();
   SetState(State::kLost);
-  const std::vector<PendingRecord> batch = std::exchange(batch_, {});
+  pieces_under_way_ = 0;
   const std::deque<PendingRecord> queue = std::exchange(queue_, {});
-  for (const PendingRecord& pending : batch) {
-    pending.on_done(false);
-  }
   for (const PendingRecord& pending : queue) {
     pending.on_done(false);
   }
--- a/src/ledger/partition_test.cc
+++ b/src/ledger/partition_test.cc
@@ -117,6 +117,109 @@
   BOOST_TEST(store.largest_append() <= kMaxAppendBytes);
 }
 
+// Guards against a record that the store always rejects, because its pieces exceed one append
+// together, and that blocks all records behind it.
+BOOST_AUTO_TEST_CASE(record_larger_than_one_append_is_durable) {
+  constexpr std::size_t kMaxAppendBytes = 1000;
+  TestStore store;
+  store.SetMaxAppendBytes(kMaxAppendBytes);
+  store.SetPiecesPerRead(7);
+  const PartitionOptions options{
+      .max_piece_bytes = 256, .max_append_bytes = kMaxAppendBytes, .min_trim_records = 1};
+  const auto owner = StartOwner(store, 1, options);
+  store.Run(kSettleTime);
+  AppendTurn(owner, "before");
+  Record large = TurnRecord("large");
+  large.turn->recorded_at = store.WallNow();
+  large.turn->input = std::string(9000, 'x');
+  // Whatever becomes of the responses, each piece is written once.
+  using Outcome = TestStore::AppendOutcome;
+  store.SetAppendOutcomes({Outcome::kServe, Outcome::kLoseResponse, Outcome::kRefuse,
+                           Outcome::kServe, Outcome::kLoseResponse, Outcome::kDelay});
+  std::optional<bool> durable;
+  owner->Append(large, [&](bool result) { durable = result; });
+  const auto behind = AppendTurn(owner, "behind");
+  store.Run(kSettleTime);
+  store.DeliverDelayedAppends();
+  store.Run(kSettleTime);
+  BOOST_TEST((durable == std::optional<bool>(true)));
+  BOOST_TEST((*behind == std::optional<bool>(true)));
+  BOOST_TEST(store.largest_append() <= kMaxAppendBytes);
+  BOOST_TEST(store.size(kPartition) == 2U + EncodeRecord(large, options.max_piece_bytes).size());
+  owner->Maintain();
+  store.Run(kSettleTime);
+  const auto next = StartOwner(store, 2, options);
+  store.Run(kSettleTime);
+  BOOST_REQUIRE(HasTurn(next, "large"));
+  BOOST_TEST((*next->ledger().Chain(TurnId("large"))->front() == *large.turn));
+  BOOST_TEST(HasTurn(next, "behind"));
+}
+
+// Guards against a part of a record that hides the records of the next owner, or counts as whole.
+BOOST_AUTO_TEST_CASE(record_that_is_cut_off_by_a_takeover_is_skipped) {
+  TestStore store;
+  const PartitionOptions options{.max_piece_bytes = 256, .max_append_bytes = 600};
+  const auto former = StartOwner(store, 1, options);
+  store.Run(kSettleTime);
+  Record large = TurnRecord("large");
+  large.turn->input = std::string(9000, 'x');
+  std::optional<bool> durable;
+  former->Append(large, [&](bool result) { durable = result; });
+  store.Run(std::chrono::milliseconds(10));
+  BOOST_TEST(store.size(kPartition) > 0U);
+  const auto next = StartOwner(store, 2, options);
+  store.Run(kSettleTime);
+  BOOST_TEST((durable == std::optional<bool>(false)));
+  BOOST_TEST(!HasTurn(next, "large"));
+  AppendTurn(next, "after");
+  next->Append(large, [](bool) {});
+  store.Run(kSettleTime);
+  const auto third = StartOwner(store, 3, options);
+  store.Run(kSettleTime);
+  BOOST_TEST(HasTurn(third, "after"));
+  BOOST_TEST(HasTurn(third, "large"));
+}
+
+// Guards against a record that the store rejects whatever its pieces and that blocks the partition,
+// and against a spend that is lost with its turn.
+BOOST_AUTO_TEST_CASE(rejected_record_is_given_up_and_its_spend_recorded) {
+  const ProgramSpend spend{
+      .program = ProgramId("p"), .spent = TokenCount(5), .ceiling = TokenCount(9)};
+  TestStore store;
+  store.SetMaxAppendBytes(400);
+  const auto owner = StartOwner(store, 1);
+  store.Run(kSettleTime);
+  Record large = TurnRecord("large");
+  large.spend = spend;
+  large.turn->input = std::string(1000, 'x');
+  std::optional<bool> durable;
+  owner->Append(large, [&](bool result) { durable = result; });
+  const auto behind = AppendTurn(owner, "behind");
+  store.Run(kSettleTime);
+  BOOST_TEST((durable == std::optional<bool>(false)));
+  BOOST_TEST((*behind == std::optional<bool>(true)));
+  BOOST_TEST(!owner->stalled());
+  const auto next = StartOwner(store, 2);
+  store.Run(kSettleTime);
+  BOOST_TEST(!HasTurn(next, "large"));
+  BOOST_TEST(HasTurn(next, "behind"));
+  BOOST_TEST(next->ledger().program_count() == 1U);
+}
+
+// Guards against turns that are recorded in further partitions because the append of a large record
+// takes its time.
+BOOST_AUTO_TEST_CASE(backlog_is_known) {
+  TestStore store;
+  const auto owner = StartOwner(store, 1, {.bytes_per_second = 1'000'000});
+  Record large = TurnRecord("large");
+  large.turn->input = std::string(500'000, 'x');
+  owner->Append(large, [](bool) {});
+  BOOST_TEST((owner->BacklogTime() >= std::chrono::milliseconds(500)));
+  BOOST_TEST((owner->BacklogTime() < std::chrono::milliseconds(510)));
+  store.Run(kSettleTime);
+  BOOST_TEST((owner->BacklogTime() == Duration(0)));
+}
+
 // Guards against a turn that is written twice, or reported as lost, when the store's response is
 // lost.
 BOOST_AUTO_TEST_CASE(append_is_repeated_after_a_lost_response_without_a_second_record) {
--- a/src/ledger/test_store.h
+++ b/src/ledger/test_store.h
@@ -44,6 +44,10 @@
       Post([=] { on_done(StoreUnavailable{}); });
       return;
     }
+    if (bytes > max_append_bytes_) {
+      Post([=] { on_done(AppendTooLarge{}); });
+      return;
+    }
     switch (outcome) {
       case AppendOutcome::kServe:
         Post([=, this] { on_done(Serve(partition, epoch, sequence, pieces)); });
@@ -129,6 +133,8 @@
   void SetAppendOutcomes(std::deque<AppendOutcome> outcomes) {
     append_outcomes_ = std::move(outcomes);
   }
+  /// @brief Rejects larger appends.
+  void SetMaxAppendBytes(std::size_t bytes) { max_append_bytes_ = bytes; }
   void SetPiecesPerRead(std::size_t pieces) { pieces_per_read_ = pieces; }
   std::size_t appends() const { return appends_; }
   /// @brief Bytes of the largest append, including the length prefix of each piece.
@@ -174,6 +180,7 @@
   std::size_t pieces_per_read_ = 1000;
   std::size_t appends_ = 0;
   std::size_t largest_append_ = 0;
+  std::size_t max_append_bytes_ = SIZE_MAX;
   bool available_ = true;
 };
 
