Refuse requests that cannot end within the grace period of a planned stop

Cause: a stopping daemon accepted every request until its end, whatever time was left.

Change: StopPlan accepts any request in the first three seconds, as callers may not know of the stop, and later only those whose time limit ends before the process does. Others get 503 before they are passed on.

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -226,8 +226,9 @@
   const CallerLimits& limits() const;
 
   /// @brief Reports this daemon as not ready, stops serving its partitions and releases them; then
-  /// calls `on_released`. Requests may still be open at that time, see open_requests().
-  void Drain(std::function<void()> on_released);
+  /// calls `on_released`. Requests may still be open at that time, see open_requests(). Requests
+  /// that may not be complete at `end`, when the process ends, are refused.
+  void Drain(MonotonicTime end, std::function<void()> on_released);
   std::size_t open_requests() const;
   /// @brief The structured event log of the process.
   telemetry::EventLog& events();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -14,6 +14,7 @@
 #include "src/gateway/peer_links.h"
 #include "src/gateway/rate_limit_exchange.h"
 #include "src/gateway/route_table.h"
+#include "src/gateway/stop_plan.h"
 #include "src/gateway/turn_router.h"
 
 namespace acaciaspring::gateway {
@@ -87,7 +88,7 @@
   net::Timer maintenance;
   net::Timer drain_timer;
   std::function<void()> on_released;
-  bool draining = false;
+  std::optional<StopPlan> stop_plan;
   bool endpoints_known = false;
 };
 
@@ -182,7 +183,7 @@
 }
 
 PeerStatus Gateway::Impl::MakeStatus() {
-  return {.ready = configuration.has_value() && endpoints_known && !draining,
+  return {.ready = configuration.has_value() && endpoints_known && !stop_plan,
           .in_flight = context.endpoints.OwnCounts(),
           .owned = ownership.OwnedPartitions(),
           .has_writable_partition = !ownership.WritablePartitions().empty()};
@@ -224,6 +225,10 @@
     return;
   }
   sink->SetRoute(route->name, configuration->version);
+  if (stop_plan && !stop_plan->Admits(context.loop.Now(), TimeoutFor(request, *route))) {
+    sink->SendError({.status = 503, .reason = "stopping"});
+    return;
+  }
   const bool is_turn = request.program && (request.program->budget || route->retained);
   if (is_turn) {
     HandleTurn(*route, std::move(request), std::move(sink));
@@ -444,7 +449,7 @@
 
 bool Gateway::ready() const {
   return impl_->configuration.has_value() && impl_->endpoints_known && impl_->links != nullptr &&
-         !impl_->draining;
+         !impl_->stop_plan;
 }
 
 const CallerLimits& Gateway::limits() const {
@@ -452,8 +457,8 @@
   return impl_->configuration ? impl_->configuration->limits : defaults;
 }
 
-void Gateway::Drain(std::function<void()> on_released) {
-  impl_->draining = true;
+void Gateway::Drain(MonotonicTime end, std::function<void()> on_released) {
+  impl_->stop_plan = StopPlan(impl_->context.loop.Now(), end);
   impl_->on_released = std::move(on_released);
   impl_->ownership.StopServing();
   impl_->SendStatus();
