Test slow floods of bytes from an endpoint

Fast floods were tested already; responses_that_trickle_end_at_the_deadline adds slow and legal ones (interim responses, header lines, chunks, trailers, comment lines).

--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -25,7 +25,7 @@
     context.endpoints.SetEngineMemory(kService, TokenCount(1));
   }
 
-  void Start(RequestKind kind) {
+  void Start(RequestKind kind, Duration time_limit = kDeadline) {
     call = std::make_shared<EndpointCall>(
         context,
         CallPlan{.id = RequestId("a"),
@@ -33,7 +33,7 @@
                  .kind = kind,
                  .method = "GET",
                  .target = "/",
-                 .deadline = loop.Now() + kDeadline},
+                 .deadline = loop.Now() + time_limit},
         CallCallbacks{.on_head = [this](int, const net::Headers&) { head = true; },
                       .on_data = [this](std::string_view data) { bytes += data.size(); },
                       .on_done = [this](const Outcome& done) { outcome = done; }});
@@ -43,13 +43,14 @@
     });
   }
 
-  /// @brief Sends the start of a response and then bytes until the connection is closed.
-  void SendWithoutEnd(const std::string& start) {
+  /// @brief Sends the start of a response and then `rest` again and again until the connection is
+  /// closed.
+  void SendWithoutEnd(const std::string& start, const std::string& rest = std::string(16384, 'x')) {
     net::RawConnection& connection = *server.connections()[0];
     connection.Send(start);
-    sender = loop.Every(std::chrono::milliseconds(1), [&connection] {
+    sender = loop.Every(std::chrono::milliseconds(1), [&connection, rest] {
       if (!connection.ended()) {
-        connection.Send(std::string(16384, 'x'));
+        connection.Send(rest);
       }
     });
     net::RunUntil(loop, [&] { return outcome.has_value() && connection.ended(); });
@@ -139,6 +140,31 @@
   }
 }
 
+// Guards against a slow or legal flood of bytes that holds a call beyond its deadline, or whose
+// bytes reach the caller.
+BOOST_AUTO_TEST_CASE(responses_that_trickle_end_at_the_deadline) {
+  const std::vector<std::pair<std::string, std::string>> floods = {
+      {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+      {"", "HTTP/1.1 103 Early Hints\r\nx-id: a\r\nx: y\r\n\r\n"},
+      {"HTTP/1.1 200 OK\r\n", "x: y\r\n"},
+      {"HTTP/1.1 200 OK\r\nx-id: a\r\nContent-Length: 999999999\r\n\r\n", "x"},
+      {"HTTP/1.1 200 OK\r\nx-id: a\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+      {"HTTP/1.1 200 OK\r\nx-id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "x: y\r\n"},
+      {"HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n", ": comment\n\n"},
+  };
+  for (const auto& [start, rest] : floods) {
+    for (const RequestKind kind : {RequestKind::kAtMostOnce, RequestKind::kStream}) {
+      server.connections().clear();
+      outcome.reset();
+      bytes = 0;
+      Start(kind, std::chrono::milliseconds(60));
+      SendWithoutEnd(start, rest);
+      BOOST_TEST(std::holds_alternative<Unknown>(*outcome), start);
+      BOOST_TEST(bytes <= kMaxResponseBytes, start);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::gateway
