Recognise a crashing conversation whose shorter form is lost later

Change: each daemon remembers its latest 64 lost bodies (64 KB each at most) and reports their crashes for a shorter form that is lost later, here or elsewhere.

--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -16,8 +16,13 @@
                                  const InterruptedRequest& request) {
   const RunKey run{endpoint.id, endpoint.started_at_ms};
   const std::vector<LostRequest> lost = MakeLosses(request);
+  const LostBody body{.endpoint = endpoint.id,
+                      .started_at_ms = endpoint.started_at_ms,
+                      .crashed_at = loop_.Now(),
+                      .lost = lost.front(),
+                      .shorten = request.shorten};
   if (evidence_.HasCrash(run.first, run.second)) {
-    Report(run, lost, loop_.Now());
+    OnCrash(run, lost, {body}, loop_.Now());
     return;
   }
   Check& check = checks_[run];
@@ -25,6 +30,7 @@
     check.at = loop_.Now();
   }
   check.requests.insert(check.requests.end(), lost.begin(), lost.end());
+  check.bodies.push_back(body);
   if (check.connect == nullptr) {
     check.connect = std::make_unique<net::ConnectCheck>(
         loop_, endpoint.address, kCheckTimeout,
@@ -56,7 +62,35 @@
 void CrashMonitor::OnChecked(const RunKey& run, net::ConnectResult result) {
   auto checked = checks_.extract(run);
   if (result == net::ConnectResult::kRefused) {
-    Report(run, std::move(checked.mapped().requests), checked.mapped().at);
+    Check& check = checked.mapped();
+    OnCrash(run, std::move(check.requests), std::move(check.bodies), check.at);
+  }
+}
+
+void CrashMonitor::OnCrash(const RunKey& run,
+                           std::vector<LostRequest> requests,
+                           std::vector<LostBody> bodies,
+                           MonotonicTime at) {
+  Report(run, std::move(requests), at);
+  for (LostBody& body : bodies) {
+    lost_bodies_.Add(std::move(body));
+  }
+}
+
+void CrashMonitor::ReportLongerForms(const CrashReport& report) {
+  for (const LostRequest& lost : report.requests) {
+    if (!lost.whole) {
+      continue;
+    }
+    for (const LostBody& longer : lost_bodies_.LongerForms(lost)) {
+      LostRequest shorter = lost;
+      shorter.whole = false;
+      shorter.unanswered = longer.lost.unanswered;
+      shorter.running_us = longer.lost.running_us;
+      if (evidence_.HasCrash(longer.endpoint, longer.started_at_ms)) {
+        Report({longer.endpoint, longer.started_at_ms}, {shorter}, longer.crashed_at);
+      }
+    }
   }
 }
 
@@ -80,6 +114,7 @@
                  {"source", source},
                  {"age_ms", report.age_us / 1000}});
   LogChanges(source);
+  ReportLongerForms(report);
 }
 
 void CrashMonitor::OnCompleted(const RequestFingerprints& request) {
--- a/src/gateway/crash_monitor.h
+++ b/src/gateway/crash_monitor.h
@@ -13,6 +13,7 @@
 #include "acaciaspring/net.h"
 #include "acaciaspring/telemetry.h"
 #include "src/gateway/crash_evidence.h"
+#include "src/gateway/lost_bodies.h"
 
 namespace acaciaspring::gateway {
 
@@ -29,6 +30,7 @@
 /// @brief A request whose connection broke off.
 struct InterruptedRequest {
   RequestFingerprints fingerprints = {};
+  Shortener shorten = {};
   /// No byte of a response body had arrived.
   bool unanswered = false;
   MonotonicTime started_at = {};
@@ -59,9 +61,17 @@
   struct Check {
     std::unique_ptr<net::ConnectCheck> connect;
     std::vector<LostRequest> requests;
+    std::vector<LostBody> bodies;
     /// When the first connection broke off.
     MonotonicTime at;
   };
+  /// @brief Remembers the bodies and reports the crash.
+  void OnCrash(const RunKey& run,
+               std::vector<LostRequest> requests,
+               std::vector<LostBody> bodies,
+               MonotonicTime at);
+  /// @brief Reports the crashes in which this daemon has lost longer forms of the requests.
+  void ReportLongerForms(const CrashReport& report);
   /// @brief The request and those of its shorter forms that were lost before.
   std::vector<LostRequest> MakeLosses(const InterruptedRequest& request) const;
   void OnChecked(const RunKey& run, net::ConnectResult result);
@@ -76,6 +86,7 @@
   telemetry::Registry& metrics_;
   std::function<void(PeerCrashReports)> send_;
   CrashEvidence evidence_;
+  LostBodies lost_bodies_;
   /// Quarantined requests as last logged.
   std::set<RequestFingerprint> logged_;
   std::map<RunKey, Check> checks_;
--- a/src/gateway/crashing_request_test.cc
+++ b/src/gateway/crashing_request_test.cc
@@ -162,6 +162,17 @@
   BOOST_TEST(std::holds_alternative<Completed>(CallAndWait(instruction + "innocent")));
 }
 
+// Guards against the same when the conversations come with histories of any length, and when each
+// is lost at another daemon.
+BOOST_AUTO_TEST_CASE(histories_of_any_length_are_recognised) {
+  const std::string history = std::string(600, 'i') + "deadly" + std::string(1000, 'h');
+  for (const std::size_t more : {900, 500, 700, 100, 800, 300}) {
+    CallAndWait(history.substr(0, 606 + more));
+  }
+  BOOST_TEST(Crashed() <= kMaxCrashes + 1);
+  BOOST_TEST(std::holds_alternative<Completed>(CallAndWait(std::string(600, 'i') + "innocent")));
+}
+
 // Guards against endpoints that lose responses, or are stopped by plan, as evidence against
 // requests.
 BOOST_AUTO_TEST_CASE(only_crashes_are_evidence) {
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -88,6 +88,7 @@
   void RetryOrFinish(const Outcome& outcome);
   void EndAttempt(AttemptResult result);
   void LogAttempt(AttemptResult result) const;
+  RequestContent Content() const;
   RequestFingerprints Fingerprints(const ShorterSizes& shorter_sizes = {}) const;
   void StartDelivery();
   void MeasureStream(std::string_view data);
--- a/src/gateway/endpoint_call_crashes.cc
+++ b/src/gateway/endpoint_call_crashes.cc
@@ -36,6 +36,7 @@
                                    {.fingerprints = Fingerprints([this](RequestFingerprint start) {
                                       return context_.crashes.evidence().LostSizes(start);
                                     }),
+                                    .shorten = MakeShortener(context_.fingerprint_key, Content()),
                                     .unanswered = received_bytes_ == 0,
                                     .started_at = attempt_started_});
   }
@@ -49,14 +50,16 @@
   }
 }
 
+RequestContent EndpointCall::Content() const {
+  return {.credentials = net::FindHeader(plan_.headers, "authorization"),
+          .method = plan_.method,
+          .host = net::FindHeader(plan_.headers, "host"),
+          .target = plan_.target,
+          .body = std::string_view(plan_.body).substr(plan_.added_bytes)};
+}
+
 RequestFingerprints EndpointCall::Fingerprints(const ShorterSizes& shorter_sizes) const {
-  return MakeFingerprints(context_.fingerprint_key,
-                          {.credentials = net::FindHeader(plan_.headers, "authorization"),
-                           .method = plan_.method,
-                           .host = net::FindHeader(plan_.headers, "host"),
-                           .target = plan_.target,
-                           .body = std::string_view(plan_.body).substr(plan_.added_bytes)},
-                          shorter_sizes);
+  return MakeFingerprints(context_.fingerprint_key, Content(), shorter_sizes);
 }
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/request_fingerprint.cc
+++ b/src/gateway/request_fingerprint.cc
@@ -46,6 +46,19 @@
   return fingerprints;
 }
 
+Shortener MakeShortener(const std::string& key, const RequestContent& content) {
+  if (content.body.size() <= kStartBytes || content.body.size() > kMaxRememberedBytes) {
+    return nullptr;
+  }
+  return [key, credentials = std::string(content.credentials), method = std::string(content.method),
+          host = std::string(content.host), target = std::string(content.target),
+          body = std::string(content.body)](std::uint64_t body_bytes) {
+    const RequestContent kept{
+        .credentials = credentials, .method = method, .host = host, .target = target};
+    return MakeFingerprint(key, "whole", kept, std::string_view(body).substr(0, body_bytes));
+  };
+}
+
 std::string ToString(RequestFingerprint fingerprint) {
   std::array<char, 17> text{};
   std::snprintf(text.data(), text.size(), "%016llx",
--- a/src/gateway/request_fingerprint.h
+++ b/src/gateway/request_fingerprint.h
@@ -60,6 +60,13 @@
 RequestFingerprints MakeFingerprints(std::string_view key,
                                      const RequestContent& content,
                                      const ShorterSizes& shorter_sizes = {});
+/// @brief Computes the fingerprint of a shorter form of one request.
+using Shortener = std::function<RequestFingerprint(std::uint64_t body_bytes)>;
+/// @brief Bodies that are longer than this are not kept to compute shorter forms later.
+inline constexpr std::size_t kMaxRememberedBytes = std::size_t{64} << 10;
+/// @brief Returns a shortener with a copy of the content, or null if the body has no shorter forms
+/// or is too long to keep.
+Shortener MakeShortener(const std::string& key, const RequestContent& content);
 /// @brief 16 hexadecimal digits.
 std::string ToString(RequestFingerprint fingerprint);
 
