Treat a stream that ends inside an event as broken off

A server that closed a stream in order in the middle of an event, or framed it so, had it delivered as complete, and a retained turn was kept with the part.

Change: SseBoundary follows the lines of a stream; EndpointCall treats a finished stream inside an event like an interrupted one.

Evidence: stream_that_ends_inside_an_event_is_not_complete failed for all three framings without the check.

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -311,6 +311,23 @@
   bool overflowed_ = false;
 };
 
+/// @brief Tells whether a stream of server-sent events may end where it is, without keeping its
+/// data.
+class SseBoundary {
+ public:
+  void Feed(std::string_view chunk);
+  /// @brief True within a line, or within an event whose blank line has not arrived.
+  bool inside_event() const { return in_line_ || in_event_; }
+
+ private:
+  bool in_line_ = false;
+  /// The line being read is a comment.
+  bool in_comment_ = false;
+  /// A field has been read since the last blank line.
+  bool in_event_ = false;
+  bool after_carriage_return_ = false;
+};
+
 /// @brief Numbers of messages dropped as malformed or unauthenticated, by cause.
 struct DropCounters {
   std::uint64_t bad_mac = 0;
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -107,6 +107,7 @@
   in_flight_ = true;
   attempt_started_ = context_.loop.Now();
   events_ = 0;
+  stream_boundary_ = {};
   context_.endpoints.OnStarted(endpoint_, attempt_started_);
   if (plan_.kind == RequestKind::kIdempotent && possible_runs_ + 1 < plan_.max_attempts) {
     const auto remaining =
@@ -181,6 +182,9 @@
     return;
   }
   if (delivering_) {
+    if (IsStream()) {
+      stream_boundary_.Feed(data);
+    }
     MeasureStream(data);
     callbacks_.on_data(data);
     return;
@@ -220,7 +224,14 @@
     OnRejected();
     return;
   }
-  std::visit(Overloaded{[&](const net::HttpFinished&) { OnResponseComplete(); },
+  std::visit(Overloaded{[&](const net::HttpFinished&) {
+                          if (IsStream() && stream_boundary_.inside_event()) {
+                            // The endpoint broke the stream off, whatever its framing says.
+                            OnInterrupted(/*timed_out=*/false);
+                          } else {
+                            OnResponseComplete();
+                          }
+                        },
                         [&](const net::HttpNotSent&) {
                           EndAttempt(AttemptResult::kFailed);
                           RetryOrFinish(NotRun{.reason = NotRunReason::kEndpointUnavailable});
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -114,6 +114,7 @@
   std::uint32_t attempts_ = 0;
   bool in_flight_ = false;
   MonotonicTime attempt_started_;
+  net::SseBoundary stream_boundary_;
   /// Events of the stream, and the times of the first and the last one.
   std::uint32_t events_ = 0;
   MonotonicTime first_event_at_;
--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -116,6 +116,28 @@
   }
 }
 
+// Guards against a stream that ends in order inside an event and is delivered as complete.
+BOOST_AUTO_TEST_CASE(stream_that_ends_inside_an_event_is_not_complete) {
+  const std::string start = "HTTP/1.1 200 OK\r\nx-id: a\r\n";
+  // What comes before and after the body in each framing.
+  const std::vector<std::pair<std::string, std::string>> framings = {
+      {"\r\n", ""},
+      {"Content-Length: 14\r\n\r\n", ""},
+      {"Transfer-Encoding: chunked\r\n\r\ne\r\n", "\r\n0\r\n\r\n"}};
+  for (const auto& [before, after] : framings) {
+    for (const bool whole : {true, false}) {
+      server.connections().clear();
+      outcome.reset();
+      Start(RequestKind::kStream);
+      const std::string body = whole ? "id: 1\ndata:a\n\n" : "data:a\n\ndata:b";
+      server.connections()[0]->Send(start + before + body + after);
+      server.connections()[0]->Close();
+      net::RunUntil(loop, [this] { return outcome.has_value(); });
+      BOOST_TEST(std::holds_alternative<Completed>(*outcome) == whole, before << body);
+    }
+  }
+}
+
 // Guards against unbounded memory and against calls that last until their deadline, when an
 // endpoint sends bytes without end in a head or a body.
 BOOST_AUTO_TEST_CASE(responses_without_end_are_broken_off) {
--- a/src/net/sse_parser.cc
+++ b/src/net/sse_parser.cc
@@ -60,4 +60,26 @@
   }
 }
 
+void SseBoundary::Feed(std::string_view chunk) {
+  while (!chunk.empty()) {
+    if (std::exchange(after_carriage_return_, false) && chunk.front() == '\n') {
+      chunk.remove_prefix(1);
+      continue;
+    }
+    const std::size_t end = std::min(chunk.find_first_of("\r\n"), chunk.size());
+    if (end > 0) {
+      in_comment_ = in_line_ ? in_comment_ : chunk.front() == ':';
+      in_line_ = true;
+    }
+    if (end == chunk.size()) {
+      return;
+    }
+    after_carriage_return_ = chunk[end] == '\r';
+    chunk.remove_prefix(end + 1);
+    // A blank line ends the event, a comment is no part of one.
+    in_event_ = in_line_ && (in_event_ || !in_comment_);
+    in_line_ = false;
+  }
+}
+
 }  // namespace acaciaspring::net
--- a/src/net/sse_parser_test.cc
+++ b/src/net/sse_parser_test.cc
@@ -85,6 +85,36 @@
   BOOST_TEST(!parser.overflowed());
 }
 
+// Guards against a stream that ends inside an event and counts as complete, and against a complete
+// one that does not.
+BOOST_AUTO_TEST_CASE(boundary_is_known_wherever_the_chunks_end) {
+  const std::vector<std::pair<std::string, bool>> streams = {
+      {"", false},
+      {"data: a\n\n", false},
+      {"data: a\r\n\r\n", false},
+      {"data: a\r\r", false},
+      {"id: 1\ndata: a\n\n: comment\n", false},
+      {": comment\n\n", false},
+      {"data: a\n\n\n\n", false},
+      {"d", true},
+      {"data: a", true},
+      {"data: a\n", true},
+      {"data: a\r\n", true},
+      {"data: a\n\nid: 2\n", true},
+      {"data: a\n: comment\n", true},
+      {": comment", true},
+  };
+  for (const auto& [stream, inside] : streams) {
+    for (std::size_t step = 1; step <= stream.size() + 1; ++step) {
+      SseBoundary boundary;
+      for (std::size_t i = 0; i < stream.size(); i += step) {
+        boundary.Feed(std::string_view(stream).substr(i, step));
+      }
+      BOOST_TEST(boundary.inside_event() == inside, stream << " by " << step);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
