Report a longer form of a lost request once

Each report of a lost request made every daemon that remembered a longer form report it to all others again. LacksLoss leaves out what the evidence has already; histories_of_any_length_are_recognised counts the messages now.

--- a/src/gateway/crash_evidence.cc
+++ b/src/gateway/crash_evidence.cc
@@ -145,6 +145,13 @@
   return crashes_.contains({endpoint, started_at_ms});
 }
 
+bool CrashEvidence::LacksLoss(const EndpointId& endpoint,
+                              std::int64_t started_at_ms,
+                              RequestFingerprint request) const {
+  const auto crash = crashes_.find({endpoint, started_at_ms});
+  return crash != crashes_.end() && !crash->second.requests.contains(request);
+}
+
 std::map<RequestFingerprint, CrashEvidence::Suspect> CrashEvidence::FindSuspects() const {
   std::map<RequestFingerprint, Suspect> suspects;
   for (const auto& [run, crash] : crashes_) {
--- a/src/gateway/crash_evidence.h
+++ b/src/gateway/crash_evidence.h
@@ -90,6 +90,10 @@
   bool empty() const { return crashes_.empty(); }
   bool HasCrash(const EndpointId& endpoint, std::int64_t started_at_ms) const;
   bool HasLoss(RequestFingerprint request) const { return losses_.contains(request); }
+  /// @brief True if the crash is known and the request is not among its losses.
+  bool LacksLoss(const EndpointId& endpoint,
+                 std::int64_t started_at_ms,
+                 RequestFingerprint request) const;
   /// @brief Body sizes of the lost requests with this start that may have longer forms.
   std::vector<std::uint64_t> LostSizes(RequestFingerprint start) const;
   /// @brief The same for requests that were lost more than once.
--- a/src/gateway/crash_monitor.cc
+++ b/src/gateway/crash_monitor.cc
@@ -83,11 +83,11 @@
       continue;
     }
     for (const LostBody& longer : lost_bodies_.LongerForms(lost)) {
-      LostRequest shorter = lost;
-      shorter.whole = false;
-      shorter.unanswered = longer.lost.unanswered;
-      shorter.running_us = longer.lost.running_us;
-      if (evidence_.HasCrash(longer.endpoint, longer.started_at_ms)) {
+      if (evidence_.LacksLoss(longer.endpoint, longer.started_at_ms, lost.request)) {
+        LostRequest shorter = lost;
+        shorter.whole = false;
+        shorter.unanswered = longer.lost.unanswered;
+        shorter.running_us = longer.lost.running_us;
         Report({longer.endpoint, longer.started_at_ms}, {shorter}, longer.crashed_at);
       }
     }
--- a/src/gateway/crashing_request_test.cc
+++ b/src/gateway/crashing_request_test.cc
@@ -166,10 +166,14 @@
 // is lost at another daemon.
 BOOST_AUTO_TEST_CASE(histories_of_any_length_are_recognised) {
   const std::string history = std::string(600, 'i') + "deadly" + std::string(1000, 'h');
+  std::size_t reports = 0;
+  context.crashes.SetSend([&](const PeerCrashReports&) { ++reports; });
   for (const std::size_t more : {900, 500, 700, 100, 800, 300}) {
     CallAndWait(history.substr(0, 606 + more));
   }
   BOOST_TEST(Crashed() <= kMaxCrashes + 1);
+  // One of each crash, and one of each longer form of a request that is lost after it.
+  BOOST_TEST(reports <= Crashed() + Crashed() * (Crashed() - 1) / 2);
   BOOST_TEST(std::holds_alternative<Completed>(CallAndWait(std::string(600, 'i') + "innocent")));
 }
 
