--- a/src/gateway/crash_evidence_test.cc
+++ b/src/gateway/crash_evidence_test.cc
@@ -10,6 +10,7 @@
 constexpr RequestFingerprint kDeadly{100};
 constexpr RequestFingerprint kOther{200};
 constexpr RequestFingerprint kAlike{400};
+constexpr RequestFingerprint kInstruction{500};
 
 MonotonicTime After(int seconds) {
   return kStart + std::chrono::seconds(seconds);
@@ -179,7 +180,6 @@
 // Guards against shorter forms of a request that are not looked for, and against a search that
 // grows with the number of requests that start alike.
 BOOST_AUTO_TEST_CASE(sizes_of_shorter_forms_are_known_by_start) {
-  constexpr RequestFingerprint kInstruction{500};
   const auto lose = [this](int run, RequestFingerprint request, std::uint64_t bytes) {
     evidence.Add({.endpoint = EndpointId("e" + std::to_string(run)),
                   .started_at_ms = 1,
