--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -165,6 +165,8 @@
   std::optional<Duration> deadline = {};
   std::optional<ProgramContext> program = {};
   Prompt prompt = {};
+  /// The connection on which the caller sent it, for the log.
+  net::ConnectionId connection = {};
 };
 
 /// @brief Names of the headers exchanged with endpoints and callers, in lower case.
--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -114,6 +114,9 @@
 /// @brief First value of the header `name`, or empty. `name` must be in lower case.
 std::string_view FindHeader(const Headers& headers, std::string_view name);
 
+/// @brief Number of a connection that a server has accepted, unique within the server.
+using ConnectionId = StrongNumber<struct ConnectionIdTag>;
+
 struct HttpRequest {
   std::string method = {};
   /// Path without the query, as received (not percent-decoded).
@@ -122,6 +125,7 @@
   std::string query = {};
   Headers headers = {};
   std::string body = {};
+  ConnectionId connection = {};
 };
 
 /// @brief Value of a query parameter as received (not percent-decoded), or empty.
@@ -153,6 +157,27 @@
 };
 using HttpResponderPtr = std::shared_ptr<HttpResponder>;
 
+/// @brief A connection that a server closed although bytes were under way.
+struct ConnectionEnd {
+  ConnectionId connection = {};
+  /// Requests that the connection has carried.
+  std::uint64_t requests = 0;
+  /// Bytes of responses that the client had not acknowledged.
+  std::size_t undelivered_bytes = 0;
+  /// Bytes of the client that were not read.
+  std::size_t unread_bytes = 0;
+};
+
+/// @brief The connections of a server at one moment.
+struct ConnectionSummary {
+  std::size_t connections = 0;
+  /// Connections with bytes of responses that the client has not acknowledged.
+  std::size_t undelivered = 0;
+  std::size_t undelivered_bytes = 0;
+  /// Connections with bytes of the client that were not read.
+  std::size_t unread = 0;
+};
+
 struct HttpServerOptions {
   Address listen = {};
   /// Requests with a larger body are rejected with 413.
@@ -160,6 +185,9 @@
   /// Limits the idle time of a connection, the time to receive a request, and the time without
   /// progress while the client does not read the response.
   Duration io_timeout = std::chrono::seconds(30);
+  /// Receives each connection that the server closes with undelivered or unread bytes. May be
+  /// empty.
+  std::function<void(const ConnectionEnd&)> on_lossy_close = {};
 };
 
 /// @brief HTTP/1.1 server based on h2o. The handler runs when a complete request has arrived.
@@ -180,6 +208,7 @@
   void SetLimits(std::size_t max_body_bytes, Duration io_timeout);
   /// @brief Number of requests whose response has not been completely handed to the socket.
   std::size_t open_requests() const;
+  ConnectionSummary SummariseConnections() const;
   /// @brief The bound address. If port 0 was requested, contains the port that was assigned.
   Address address() const;
 
--- a/src/gateway/caller_sink.cc
+++ b/src/gateway/caller_sink.cc
@@ -23,6 +23,7 @@
                        net::HttpResponderPtr responder)
     : context_(context),
       id_(request.id),
+      connection_(request.connection),
       responder_(std::move(responder)),
       arrived_at_(context.loop.Now()) {}
 
@@ -86,6 +87,7 @@
   const auto total =
       std::chrono::duration_cast<std::chrono::milliseconds>(context_.loop.Now() - arrived_at_);
   context_.events.Write("request", {{"id", id_.value()},
+                                    {"conn", static_cast<std::int64_t>(connection_.value())},
                                     {"route", route_},
                                     {"version", static_cast<std::int64_t>(version_.value())},
                                     {"status", static_cast<std::int64_t>(status_)},
--- a/src/gateway/caller_sink.h
+++ b/src/gateway/caller_sink.h
@@ -33,6 +33,7 @@
 
   Context& context_;
   RequestId id_;
+  net::ConnectionId connection_;
   net::HttpResponderPtr responder_;
   MonotonicTime arrived_at_;
   std::string route_;
--- a/src/net/http_responder.h
+++ b/src/net/http_responder.h
@@ -31,6 +31,8 @@
   /// h2o cannot detect a close itself, because it does not read from a connection while a request
   /// is being processed.
   void CheckConnection(Duration io_timeout);
+  /// @brief True if the connection was lost or broken off before the response was complete.
+  bool aborted() const { return connection_lost_; }
   /// @brief Closes the connection without calling the OnClosed callback.
   void AbortWithoutCallback();
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -11,6 +11,7 @@
 #include "src/net/http_message.h"
 #include "src/net/http_responder.h"
 #include "src/net/socket_address.h"
+#include "src/net/socket_state.h"
 
 namespace acaciaspring::net {
 
@@ -43,23 +44,29 @@
   void SetLimits(std::size_t max_body_bytes, Duration io_timeout);
   void Close();
   std::size_t open_requests() const { return responders_.size(); }
+  ConnectionSummary SummariseConnections() const;
   Address address() const { return address_; }
 
  private:
   struct Connection {
     std::shared_ptr<ServerState> server;
     h2o_socket_t* socket;
+    ConnectionId id;
+    std::uint64_t requests = 0;
   };
   struct RequestLink {
     std::shared_ptr<ServerState> server;
     std::shared_ptr<H2oResponder> responder;
+    h2o_req_t* request;
   };
 
   void Configure();
   void OnConnection(int status);
   void OnConnectionClosed(Connection* connection);
   int OnRequest(h2o_req_t* request);
-  HttpRequest ToHttpRequest(const h2o_req_t& request) const;
+  void OnRequestDisposed(const RequestLink& link);
+  static HttpRequest ToHttpRequest(const h2o_req_t& request);
+  static Connection& ConnectionOf(const h2o_req_t& request);
   void CheckOpenRequests();
   void DisposeIfUnused();
 
@@ -72,6 +79,7 @@
   h2o_context_t context_{};
   h2o_accept_ctx_t accept_{};
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+  std::uint64_t next_connection_ = 0;
   std::set<std::shared_ptr<H2oResponder>> responders_;
   Timer check_timer_;
   bool keep_alive_ = true;
@@ -133,8 +141,8 @@
   h2o_socket_t* socket =
       h2o_uv_socket_create(reinterpret_cast<uv_stream_t*>(stream.release()),
                            [](uv_handle_t* closed) { delete reinterpret_cast<uv_tcp_t*>(closed); });
-  auto connection =
-      std::make_unique<Connection>(Connection{.server = shared_from_this(), .socket = socket});
+  auto connection = std::make_unique<Connection>(Connection{
+      .server = shared_from_this(), .socket = socket, .id = ConnectionId(next_connection_++)});
   socket->on_close.data = connection.get();
   socket->on_close.cb = [](void* data) {
     auto* closed = static_cast<Connection*>(data);
@@ -150,8 +158,8 @@
   DisposeIfUnused();
 }
 
-HttpRequest ServerState::ToHttpRequest(const h2o_req_t& request) const {
-  HttpRequest result;
+HttpRequest ServerState::ToHttpRequest(const h2o_req_t& request) {
+  HttpRequest result{.connection = ConnectionOf(request).id};
   const std::string_view target = ToStringView(request.input.path);
   const std::size_t query_at = std::min(request.input.query_at, target.size());
   result.method = ToStringView(request.input.method);
@@ -175,12 +183,13 @@
   auto responder = std::make_shared<H2oResponder>(loop_, request);
   void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(RequestLink), [](void* data) {
     auto* link = static_cast<RequestLink*>(data);
-    link->server->responders_.erase(link->responder);
-    link->responder->OnDisposed();
+    link->server->OnRequestDisposed(*link);
     link->~RequestLink();
   });
-  new (memory) RequestLink{.server = shared_from_this(), .responder = responder};
+  new (memory)
+      RequestLink{.server = shared_from_this(), .responder = responder, .request = request};
   responders_.insert(responder);
+  ++ConnectionOf(*request).requests;
   if (!keep_alive_) {
     request->http1_is_persistent = 0;
   }
@@ -198,6 +207,40 @@
   return 0;
 }
 
+ServerState::Connection& ServerState::ConnectionOf(const h2o_req_t& request) {
+  h2o_socket_t* socket = request.conn->callbacks->get_socket(request.conn);
+  return *static_cast<Connection*>(socket->on_close.data);
+}
+
+void ServerState::OnRequestDisposed(const RequestLink& link) {
+  responders_.erase(link.responder);
+  const bool aborted = link.responder->aborted();
+  link.responder->OnDisposed();
+  if (link.request->http1_is_persistent != 0 || aborted) {
+    return;
+  }
+  // h2o closes the connection next.
+  const Connection& connection = ConnectionOf(*link.request);
+  const SocketState state = ReadSocketState(h2o_socket_get_fd(connection.socket));
+  if (options_.on_lossy_close && (state.undelivered_bytes > 0 || state.unread_bytes > 0)) {
+    options_.on_lossy_close({.connection = connection.id,
+                             .requests = connection.requests,
+                             .undelivered_bytes = state.undelivered_bytes,
+                             .unread_bytes = state.unread_bytes});
+  }
+}
+
+ConnectionSummary ServerState::SummariseConnections() const {
+  ConnectionSummary summary{.connections = connections_.size()};
+  for (const auto& [key, connection] : connections_) {
+    const SocketState state = ReadSocketState(h2o_socket_get_fd(connection->socket));
+    summary.undelivered += state.undelivered_bytes > 0 ? 1 : 0;
+    summary.undelivered_bytes += state.undelivered_bytes;
+    summary.unread += state.unread_bytes > 0 ? 1 : 0;
+  }
+  return summary;
+}
+
 void ServerState::CheckOpenRequests() {
   const auto responders = responders_;
   for (const auto& responder : responders) {
@@ -277,6 +320,10 @@
   impl_->state->SetLimits(max_body_bytes, io_timeout);
 }
 
+ConnectionSummary HttpServer::SummariseConnections() const {
+  return impl_->state->SummariseConnections();
+}
+
 std::size_t HttpServer::open_requests() const {
   return impl_->state->open_requests();
 }
--- /dev/null
+++ b/src/net/socket_state.h
@@ -0,0 +1,23 @@
+#ifndef ACACIASPRING_SRC_NET_SOCKET_STATE_H_
+#define ACACIASPRING_SRC_NET_SOCKET_STATE_H_
+
+#include <cstddef>
+
+namespace acaciaspring::net {
+
+/// @brief What the kernel knows about a connected TCP socket.
+struct SocketState {
+  /// Bytes that were written and that the peer has not acknowledged, including the end of the
+  /// stream.
+  std::size_t undelivered_bytes = 0;
+  /// Bytes of the peer that were not read.
+  std::size_t unread_bytes = 0;
+  /// The peer has closed its direction, or the connection has failed.
+  bool peer_closed = false;
+};
+
+SocketState ReadSocketState(int fd);
+
+}  // namespace acaciaspring::net
+
+#endif  // ACACIASPRING_SRC_NET_SOCKET_STATE_H_
