--- /dev/null
+++ b/src/net/connection_close_test.cc
@@ -0,0 +1,185 @@
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <cerrno>
+#include <string>
+#include <string_view>
+
+#include "acaciaspring/net.h"
+#include "src/net/socket_address.h"
+#include "src/net/test_support.h"
+
+namespace acaciaspring::net {
+
+namespace {
+
+constexpr std::size_t kLargeBytes = 400'000;
+constexpr std::size_t kBytesPerRead = 20'000;
+constexpr std::string_view kPost =
+    "POST /order HTTP/1.1\r\nHost: test\r\nContent-Length: 2\r\n\r\nhi";
+constexpr std::string_view kChunkedPost =
+    "POST /order HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n";
+
+/// @brief A client with a small receive buffer that reads only when asked to.
+class SlowClient {
+ public:
+  explicit SlowClient(const Address& server) : fd_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int buffer_bytes = 4096;
+    setsockopt(fd_, SOL_SOCKET, SO_RCVBUF, &buffer_bytes, sizeof(buffer_bytes));
+    const sockaddr_in address = ToSocketAddress(server);
+    BOOST_REQUIRE(connect(fd_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+  }
+  SlowClient(const SlowClient&) = delete;
+  SlowClient& operator=(const SlowClient&) = delete;
+  ~SlowClient() { close(fd_); }
+
+  void Send(std::string_view data) {
+    BOOST_REQUIRE(send(fd_, data.data(), data.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(data.size()));
+  }
+  /// @brief Sends as much as the socket accepts, and returns what is left.
+  std::string_view SendSome(std::string_view data) {
+    const ssize_t sent = send(fd_, data.data(), data.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    reset_ = reset_ || (sent < 0 && errno != EAGAIN);
+    return data.substr(sent > 0 ? static_cast<std::size_t>(sent) : 0);
+  }
+  void ReadSome() {
+    std::array<char, kBytesPerRead> buffer{};
+    const ssize_t size = recv(fd_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size > 0) {
+      received_.append(buffer.data(), static_cast<std::size_t>(size));
+    } else if (size == 0) {
+      ended_ = true;
+    } else if (errno != EAGAIN) {
+      reset_ = true;
+    }
+  }
+  void ReadToTheEnd(Loop& loop) {
+    RunUntil(loop, [&] {
+      ReadSome();
+      return ended_ || reset_;
+    });
+  }
+  const std::string& received() const { return received_; }
+  bool reset() const { return reset_; }
+
+ private:
+  int fd_;
+  std::string received_;
+  bool ended_ = false;
+  bool reset_ = false;
+};
+
+HttpServer::Handler LargeResponse(HttpResponderPtr& responder) {
+  return [&responder](const HttpRequest&, HttpResponderPtr received) {
+    responder = std::move(received);
+  };
+}
+
+std::size_t CountOf(const std::string& text, std::string_view part) {
+  std::size_t count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+    ++count;
+  }
+  return count;
+}
+
+bool EndsWithLargeBody(const std::string& received) {
+  return received.size() > kLargeBytes && received.ends_with(std::string(kLargeBytes, 'x'));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(connection_close)
+
+// Guards against a response that a reset destroys: the client sends its next request while it reads
+// the response of a server that closes its connections.
+BOOST_AUTO_TEST_CASE(response_is_delivered_when_the_next_request_crosses_the_close) {
+  for (const std::string_view request : {kPost, kChunkedPost}) {
+    Loop loop;
+    HttpResponderPtr responder;
+    HttpServer server(loop, {.listen = kAnyLoopbackPort}, LargeResponse(responder));
+    server.DisableKeepAlive();
+    SlowClient client(server.address());
+    client.Send(request);
+    RunUntil(loop, [&] { return responder != nullptr; });
+    responder->Start(200, {});
+    responder->Write(std::string(kLargeBytes, 'x'));
+    RunUntil(loop, [&] {
+      client.ReadSome();
+      return !client.received().empty();
+    });
+    client.Send(request);
+    responder->End();
+    client.ReadToTheEnd(loop);
+    BOOST_TEST(CountOf(client.received(), "HTTP/1.1 200 ") == 1U);
+    BOOST_TEST(client.received().ends_with("\r\n0\r\n\r\n"));
+    BOOST_TEST(client.received().size() > kLargeBytes);
+    BOOST_TEST(!client.reset());
+  }
+}
+
+// Guards against a request that is lost although it arrived before the server announced the close.
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_answered_before_the_close) {
+  for (const std::string_view request : {kPost, kChunkedPost}) {
+    Loop loop;
+    HttpServer server(
+        loop, {.listen = kAnyLoopbackPort},
+        [&](const HttpRequest&, const HttpResponderPtr& responder) {
+          loop.Post([responder] { responder->Respond(200, {}, std::string(kLargeBytes, 'x')); });
+        });
+    server.DisableKeepAlive();
+    SlowClient client(server.address());
+    client.Send(std::string(request) + std::string(request) + "\r\n");
+    client.ReadToTheEnd(loop);
+    BOOST_TEST(CountOf(client.received(), "HTTP/1.1 200 ") == 2U);
+    BOOST_TEST(CountOf(client.received(), "Connection: keep-alive") == 1U);
+    BOOST_TEST(CountOf(client.received(), "Connection: close") == 1U);
+    BOOST_TEST(EndsWithLargeBody(client.received()));
+  }
+}
+
+// Guards against a refusal that a reset destroys because the rest of the refused body is unread.
+BOOST_AUTO_TEST_CASE(refusal_of_a_large_body_reaches_a_client_that_sends_first) {
+  constexpr std::size_t kBodyBytes = std::size_t{8} << 20;
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort, .max_body_bytes = 1000},
+                    [](const HttpRequest&, const HttpResponderPtr&) {});
+  SlowClient client(server.address());
+  client.Send("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: " + std::to_string(kBodyBytes) +
+              "\r\n\r\n");
+  const std::string body(kBodyBytes, 'x');
+  std::string_view unsent = body;
+  RunUntil(loop, [&] {
+    unsent = client.SendSome(unsent);
+    return unsent.empty() || client.reset();
+  });
+  client.ReadToTheEnd(loop);
+  BOOST_TEST(client.received().starts_with("HTTP/1.1 413 "));
+  BOOST_TEST(!client.reset());
+}
+
+// Guards against connections that stay open after their last response.
+BOOST_AUTO_TEST_CASE(closed_connections_are_released) {
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort},
+                    [](const HttpRequest&, const HttpResponderPtr& responder) {
+                      responder->Respond(200, {}, "answer");
+                    });
+  server.DisableKeepAlive();
+  RawConnection closes(loop, server.address());
+  SlowClient stays(server.address());
+  closes.Send(kPost);
+  stays.Send(kPost);
+  RunUntil(loop, [&] { return closes.ended(); });
+  stays.ReadToTheEnd(loop);
+  closes.Close();
+  RunUntil(loop, [&] { return server.SummariseConnections().connections == 0; });
+  BOOST_TEST(stays.received().ends_with("answer"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::net
