Keep a connection behind its last response until the caller has it

What callers saw: a caller that had sent its next request on the connection, or the rest of a refused body, lost the response that was being delivered: around a planned stop in its first seconds, otherwise whenever a connection was closed behind a response.

Cause: a response counted as delivered when it was handed to h2o or to the kernel. Closing a socket with unread bytes sends a reset, which drops what the peer has not acknowledged; the end of the process does the same to all connections.

Change: whether a connection closes is decided when the head of the response is sent; it stays open if a further request has already arrived. Nothing is read meanwhile, so no request counts as received that gets no response; the rest of a refused body is read and dropped.

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -171,6 +171,8 @@
 /// @brief The connections of a server at one moment.
 struct ConnectionSummary {
   std::size_t connections = 0;
+  /// Connections whose last response is complete and that wait for the client to receive it.
+  std::size_t closing = 0;
   /// Connections with bytes of responses that the client has not acknowledged.
   std::size_t undelivered = 0;
   std::size_t undelivered_bytes = 0;
@@ -199,10 +201,11 @@
   HttpServer(Loop& loop, HttpServerOptions options, Handler handler);
   /// @brief Closes all open connections without completing their responses.
   ~HttpServer();
-  /// @brief Closes the listening socket. Open connections stay usable and are closed after their
-  /// next response.
+  /// @brief Closes the listening socket. Open connections stay usable and are closed as after
+  /// DisableKeepAlive.
   void StopAccepting();
-  /// @brief Closes each connection after its next response. New connections are still accepted.
+  /// @brief Closes each connection after its next response, unless a further request has already
+  /// arrived on it. New connections are still accepted.
   void DisableKeepAlive();
   /// @brief Changes the limits given in HttpServerOptions, for open connections too.
   void SetLimits(std::size_t max_body_bytes, Duration io_timeout);
--- a/src/net/http_responder.cc
+++ b/src/net/http_responder.cc
@@ -7,12 +7,14 @@
 #include <utility>
 
 #include "src/net/http_message.h"
+#include "src/net/pipelined_input.h"
 
 namespace acaciaspring::net {
 
-H2oResponder::H2oResponder(Loop& loop, h2o_req_t* request)
+H2oResponder::H2oResponder(Loop& loop, h2o_req_t* request, std::shared_ptr<const bool> keep_alive)
     : loop_(loop),
       request_(request),
+      keep_alive_(std::move(keep_alive)),
       generator_{.base = {.proceed =
                               [](h2o_generator_t* self, h2o_req_t*) {
                                 reinterpret_cast<Generator*>(self)->responder->OnProceed();
@@ -101,6 +103,9 @@
       (pending_.empty() && !ended_)) {
     return;
   }
+  if (!std::exchange(head_sent_, true) && !*keep_alive_ && !HasPipelinedInput(*request_)) {
+    request_->http1_is_persistent = 0;
+  }
   sending_ = std::exchange(pending_, {});
   in_flight_ = true;
   final_sent_ = ended_;
@@ -147,6 +152,7 @@
   if (in_flight_) {
     if (loop_.Now() - send_started_ > io_timeout) {
       // Makes the pending write fail, after which h2o disposes of the request.
+      stalled_ = true;
       shutdown(FileDescriptor(), SHUT_RDWR);
     }
     return;
--- a/src/net/http_responder.h
+++ b/src/net/http_responder.h
@@ -14,7 +14,8 @@
 /// clears its pointer when h2o disposes of the request, so it may outlive the request.
 class H2oResponder : public HttpResponder, public std::enable_shared_from_this<H2oResponder> {
  public:
-  H2oResponder(Loop& loop, h2o_req_t* request);
+  /// @brief `keep_alive` tells when the head is sent whether the connection may stay open.
+  H2oResponder(Loop& loop, h2o_req_t* request, std::shared_ptr<const bool> keep_alive);
 
   void Start(int status, const Headers& headers) override;
   void Write(std::string_view data) override;
@@ -31,8 +32,8 @@
   /// h2o cannot detect a close itself, because it does not read from a connection while a request
   /// is being processed.
   void CheckConnection(Duration io_timeout);
-  /// @brief True if the connection was lost or broken off before the response was complete.
-  bool aborted() const { return connection_lost_; }
+  /// @brief True if the whole response was handed to h2o and the connection was not broken off.
+  bool complete() const { return final_sent_ && !connection_lost_ && !stalled_; }
   /// @brief Closes the connection without calling the OnClosed callback.
   void AbortWithoutCallback();
 
@@ -52,6 +53,7 @@
 
   Loop& loop_;
   h2o_req_t* request_;
+  std::shared_ptr<const bool> keep_alive_;
   Generator generator_;
   std::function<void()> on_closed_;
   /// Bytes to be sent that are not yet handed to h2o.
@@ -62,9 +64,12 @@
   bool head_only_ = false;
   bool started_ = false;
   bool ended_ = false;
+  bool head_sent_ = false;
   bool in_flight_ = false;
   bool final_sent_ = false;
   bool connection_lost_ = false;
+  /// The client did not read for too long.
+  bool stalled_ = false;
 };
 
 }  // namespace acaciaspring::net
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,15 +1,16 @@
 #include <glog/logging.h>
 #include <sys/socket.h>
 
-#include <set>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "acaciaspring/net.h"
 #include "src/net/deferred.h"
 #include "src/net/h2o.h"
 #include "src/net/http_message.h"
 #include "src/net/http_responder.h"
+#include "src/net/lingering_sockets.h"
 #include "src/net/socket_address.h"
 #include "src/net/socket_state.h"
 
@@ -31,16 +32,24 @@
   ServerState* server;
 };
 
+struct Logger {
+  h2o_logger_t base;
+  ServerState* server;
+};
+
 /// @brief The h2o objects of a server. They outlive the HttpServer until the last connection is
 /// closed, because h2o cannot close its connections immediately.
 class ServerState : public std::enable_shared_from_this<ServerState> {
  public:
   ServerState(Loop& loop, HttpServerOptions options, HttpServer::Handler handler)
-      : loop_(loop), options_(std::move(options)), handler_(std::move(handler)) {}
+      : loop_(loop),
+        options_(std::move(options)),
+        handler_(std::move(handler)),
+        lingering_(loop, options_.on_lossy_close) {}
 
   void Open();
   void StopAccepting();
-  void DisableKeepAlive() { keep_alive_ = false; }
+  void DisableKeepAlive() { *keep_alive_ = false; }
   void SetLimits(std::size_t max_body_bytes, Duration io_timeout);
   void Close();
   std::size_t open_requests() const { return responders_.size(); }
@@ -56,15 +65,16 @@
   };
   struct RequestLink {
     std::shared_ptr<ServerState> server;
-    std::shared_ptr<H2oResponder> responder;
-    h2o_req_t* request;
+    const h2o_req_t* request;
   };
 
   void Configure();
   void OnConnection(int status);
   void OnConnectionClosed(Connection* connection);
   int OnRequest(h2o_req_t* request);
-  void OnRequestDisposed(const RequestLink& link);
+  void OnRequestDisposed(const h2o_req_t& request);
+  void OnRequestLogged(const h2o_req_t& request);
+  void Linger(const h2o_req_t& request, bool discard_input);
   static HttpRequest ToHttpRequest(const h2o_req_t& request);
   static Connection& ConnectionOf(const h2o_req_t& request);
   void CheckOpenRequests();
@@ -80,9 +90,11 @@
   h2o_accept_ctx_t accept_{};
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::uint64_t next_connection_ = 0;
-  std::set<std::shared_ptr<H2oResponder>> responders_;
+  std::unordered_map<const h2o_req_t*, std::shared_ptr<H2oResponder>> responders_;
+  LingeringSockets lingering_;
   Timer check_timer_;
-  bool keep_alive_ = true;
+  /// Shared with the responders, which decide when they send the head.
+  std::shared_ptr<bool> keep_alive_ = std::make_shared<bool>(true);
   bool closing_ = false;
   bool disposing_ = false;
 };
@@ -119,6 +131,14 @@
   handler->base.on_req = [](h2o_handler_t* self, h2o_req_t* request) {
     return reinterpret_cast<Handler*>(self)->server->OnRequest(request);
   };
+  // Requests that h2o refuses itself never reach a handler.
+  for (h2o_pathconf_t* conf : {path, &host->fallback_path}) {
+    auto* logger = reinterpret_cast<Logger*>(h2o_create_logger(conf, sizeof(Logger)));
+    logger->server = this;
+    logger->base.log_access = [](h2o_logger_t* self, h2o_req_t* request) {
+      reinterpret_cast<Logger*>(self)->server->OnRequestLogged(*request);
+    };
+  }
   h2o_context_init(&context_, loop_.raw(), &config_);
   accept_.ctx = &context_;
   accept_.hosts = config_.hosts;
@@ -180,19 +200,15 @@
 }
 
 int ServerState::OnRequest(h2o_req_t* request) {
-  auto responder = std::make_shared<H2oResponder>(loop_, request);
+  auto responder = std::make_shared<H2oResponder>(loop_, request, keep_alive_);
   void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(RequestLink), [](void* data) {
     auto* link = static_cast<RequestLink*>(data);
-    link->server->OnRequestDisposed(*link);
+    link->server->OnRequestDisposed(*link->request);
     link->~RequestLink();
   });
-  new (memory)
-      RequestLink{.server = shared_from_this(), .responder = responder, .request = request};
-  responders_.insert(responder);
+  new (memory) RequestLink{.server = shared_from_this(), .request = request};
+  responders_.emplace(request, responder);
   ++ConnectionOf(*request).requests;
-  if (!keep_alive_) {
-    request->http1_is_persistent = 0;
-  }
   if (closing_) {
     responder->AbortWithoutCallback();
     return 0;
@@ -212,28 +228,46 @@
   return *static_cast<Connection*>(socket->on_close.data);
 }
 
-void ServerState::OnRequestDisposed(const RequestLink& link) {
-  responders_.erase(link.responder);
-  const bool aborted = link.responder->aborted();
-  link.responder->OnDisposed();
-  if (link.request->http1_is_persistent != 0 || aborted) {
-    return;
+void ServerState::OnRequestDisposed(const h2o_req_t& request) {
+  const auto disposed = responders_.extract(&request);
+  const std::shared_ptr<H2oResponder>& responder = disposed.mapped();
+  const bool is_complete = responder->complete();
+  responder->OnDisposed();
+  if (is_complete && request.http1_is_persistent == 0) {
+    Linger(request, /*discard_input=*/false);
+  }
+}
+
+void ServerState::OnRequestLogged(const h2o_req_t& request) {
+  // A status without a responder is an error response of h2o; requests that time out have none.
+  if (!responders_.contains(&request) && request.res.status != 0 &&
+      request.http1_is_persistent == 0) {
+    Linger(request, /*discard_input=*/true);
   }
-  // h2o closes the connection next.
-  const Connection& connection = ConnectionOf(*link.request);
-  const SocketState state = ReadSocketState(h2o_socket_get_fd(connection.socket));
-  if (options_.on_lossy_close && (state.undelivered_bytes > 0 || state.unread_bytes > 0)) {
-    options_.on_lossy_close({.connection = connection.id,
-                             .requests = connection.requests,
-                             .undelivered_bytes = state.undelivered_bytes,
-                             .unread_bytes = state.unread_bytes});
+}
+
+void ServerState::Linger(const h2o_req_t& request, bool discard_input) {
+  if (closing_) {
+    return;
   }
+  // h2o closes its descriptor next.
+  const Connection& connection = ConnectionOf(request);
+  lingering_.Add(h2o_socket_get_fd(connection.socket),
+                 {.connection = connection.id,
+                  .requests = connection.requests,
+                  .discard_input = discard_input,
+                  .wait = {.max_stall = options_.io_timeout}});
 }
 
 ConnectionSummary ServerState::SummariseConnections() const {
-  ConnectionSummary summary{.connections = connections_.size()};
+  std::vector<int> descriptors = lingering_.file_descriptors();
+  ConnectionSummary summary{.connections = connections_.size() + descriptors.size(),
+                            .closing = descriptors.size()};
   for (const auto& [key, connection] : connections_) {
-    const SocketState state = ReadSocketState(h2o_socket_get_fd(connection->socket));
+    descriptors.push_back(h2o_socket_get_fd(connection->socket));
+  }
+  for (const int fd : descriptors) {
+    const SocketState state = ReadSocketState(fd);
     summary.undelivered += state.undelivered_bytes > 0 ? 1 : 0;
     summary.undelivered_bytes += state.undelivered_bytes;
     summary.unread += state.unread_bytes > 0 ? 1 : 0;
@@ -243,7 +277,7 @@
 
 void ServerState::CheckOpenRequests() {
   const auto responders = responders_;
-  for (const auto& responder : responders) {
+  for (const auto& [request, responder] : responders) {
     responder->CheckConnection(options_.io_timeout);
   }
 }
@@ -258,7 +292,7 @@
 }
 
 void ServerState::StopAccepting() {
-  keep_alive_ = false;
+  *keep_alive_ = false;
   if (listener_ != nullptr) {
     CloseAndDelete(listener_.release());
   }
@@ -269,9 +303,10 @@
   closing_ = true;
   check_timer_.Cancel();
   const auto responders = responders_;
-  for (const auto& responder : responders) {
+  for (const auto& [request, responder] : responders) {
     responder->AbortWithoutCallback();
   }
+  lingering_.CloseAll();
   for (const auto& [key, connection] : connections_) {
     // h2o closes a connection when a read reports the end of the stream.
     shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
--- a/src/net/socket_state.cc
+++ b/src/net/socket_state.cc
@@ -17,11 +17,11 @@
 
 SocketState ReadSocketState(int fd) {
   pollfd state{.fd = fd, .events = POLLRDHUP, .revents = 0};
-  const bool has_event = poll(&state, 1, /*timeout=*/0) > 0;
+  poll(&state, 1, /*timeout=*/0);
   return {.undelivered_bytes = QueuedBytes(fd, SIOCOUTQ),
           .unread_bytes = QueuedBytes(fd, SIOCINQ),
-          .peer_closed =
-              has_event && (state.revents & (POLLRDHUP | POLLHUP | POLLERR | POLLNVAL)) != 0};
+          .peer_closed = (state.revents & (POLLRDHUP | POLLHUP)) != 0,
+          .failed = (state.revents & (POLLERR | POLLNVAL)) != 0};
 }
 
 }  // namespace acaciaspring::net
--- a/src/net/socket_state.h
+++ b/src/net/socket_state.h
@@ -12,8 +12,10 @@
   std::size_t undelivered_bytes = 0;
   /// Bytes of the peer that were not read.
   std::size_t unread_bytes = 0;
-  /// The peer has closed its direction, or the connection has failed.
+  /// The peer has closed its direction.
   bool peer_closed = false;
+  /// The connection was reset or has timed out.
+  bool failed = false;
 };
 
 SocketState ReadSocketState(int fd);
