--- a/src/net/connection_close_test.cc
+++ b/src/net/connection_close_test.cc
@@ -1,11 +1,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <cerrno>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "acaciaspring/net.h"
 #include "src/net/socket_address.h"
@@ -180,6 +184,69 @@
   BOOST_TEST(stays.received().ends_with("answer"));
 }
 
+// Guards against a connection that is kept for ever for a client that does not read its response.
+BOOST_AUTO_TEST_CASE(client_that_reads_nothing_is_given_up) {
+  Loop loop;
+  std::optional<ConnectionEnd> end;
+  HttpServer server(loop,
+                    {.listen = kAnyLoopbackPort,
+                     .io_timeout = std::chrono::milliseconds(300),
+                     .on_lossy_close = [&](const ConnectionEnd& closed) { end = closed; }},
+                    [](const HttpRequest&, const HttpResponderPtr& responder) {
+                      responder->Respond(200, {}, std::string(kLargeBytes, 'x'));
+                    });
+  server.DisableKeepAlive();
+  SlowClient client(server.address());
+  client.Send(kPost);
+  RunUntil(loop, [&] { return end.has_value(); });
+  BOOST_TEST(end->undelivered_bytes > 0U);
+  BOOST_TEST(end->requests == 1U);
+  BOOST_TEST(server.SummariseConnections().connections == 0U);
+}
+
+// Guards against descriptors that grow with the number of clients that do not close.
+BOOST_AUTO_TEST_CASE(number_of_closing_connections_is_bounded) {
+  constexpr std::size_t kClients = 300;
+  constexpr std::size_t kMaxClosing = 256;
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort},
+                    [](const HttpRequest&, const HttpResponderPtr& responder) {
+                      responder->Respond(200, {}, std::string(kLargeBytes, 'x'));
+                    });
+  server.DisableKeepAlive();
+  std::vector<std::unique_ptr<SlowClient>> clients;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<SlowClient>(server.address()));
+    clients.back()->Send(kPost);
+    RunUntil(loop, [&] {
+      clients.back()->ReadSome();
+      const ConnectionSummary summary = server.SummariseConnections();
+      BOOST_REQUIRE(summary.closing <= kMaxClosing);
+      return !clients.back()->received().empty() && summary.closing == summary.connections;
+    });
+  }
+  BOOST_TEST(server.SummariseConnections().closing == kMaxClosing);
+  clients.back()->ReadToTheEnd(loop);
+  BOOST_TEST(EndsWithLargeBody(clients.back()->received()));
+}
+
+// Guards against use after free when a server is destroyed behind its last responses.
+BOOST_AUTO_TEST_CASE(server_may_be_destroyed_while_connections_close) {
+  Loop loop;
+  auto server =
+      std::make_unique<HttpServer>(loop, HttpServerOptions{.listen = kAnyLoopbackPort},
+                                   [](const HttpRequest&, const HttpResponderPtr& responder) {
+                                     responder->Respond(200, {}, std::string(kLargeBytes, 'x'));
+                                   });
+  server->DisableKeepAlive();
+  SlowClient client(server->address());
+  client.Send(kPost);
+  RunUntil(loop, [&] { return server->SummariseConnections().closing == 1; });
+  server.reset();
+  client.ReadToTheEnd(loop);
+  BOOST_TEST(EndsWithLargeBody(client.received()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
