Reserve at most four turns of a program ahead

Cause: a record reserved a quarter of the budget ahead, and each next owner counts what the lost one had reserved.

--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -145,6 +145,9 @@
   /// lets programs continue while their partition is unavailable, but if the owner is lost, the
   /// next owner counts the tokens as spent. Programs use 15 to 40 % of their budgets.
   double budget_share_reserved_ahead = 0.25;
+  /// Limit of what a record reserves ahead, in turns of the size of the program's largest one.
+  /// Bounds what a lost owner costs a program with a large budget.
+  std::uint64_t max_turns_reserved_ahead = 4;
   /// Time for which a turn is kept beyond its retention, to allow for clock skew between daemons.
   Duration retention_margin = std::chrono::seconds(12);
   /// Idle time after which the state of a program is removed.
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -37,7 +37,14 @@
   const double tokens =
       static_cast<double>(program.budget.value()) * options_.budget_share_reserved_ahead;
   const TokenCount share(static_cast<std::uint64_t>(tokens));
-  return share < program.largest_turn ? TokenCount() : share;
+  if (share < program.largest_turn) {
+    return TokenCount();
+  }
+  // Divides, because the product may overflow for a turn of any size that a caller names.
+  const std::uint64_t turns = options_.max_turns_reserved_ahead;
+  return program.largest_turn.value() < share.value() / turns
+             ? TokenCount(program.largest_turn.value() * turns)
+             : share;
 }
 
 ProgramSpend ProgramLedger::MakeSpend(const ProgramId& id, Program& program, TokenCount ahead) {
--- a/src/ledger/program_ledger_test.cc
+++ b/src/ledger/program_ledger_test.cc
@@ -101,6 +101,27 @@
   }
 }
 
+// Owners are killed one after the other. Guards against a program with a large budget that is
+// refused with 402 because each owner counts what the one before it reserved ahead.
+BOOST_AUTO_TEST_CASE(lost_owners_cost_a_large_budget_a_few_turns_each) {
+  constexpr std::uint64_t kBudget = 100'000;
+  constexpr std::uint64_t kMaximum = 144;
+  constexpr int kOwners = 20;
+  std::uint64_t offset = 0;
+  ProgramSpend durable;
+  for (int owner = 0; owner < kOwners; ++owner) {
+    ProgramLedger ledger;
+    if (owner > 0) {
+      ledger.Apply({.spend = durable}, RecordOffset(offset++), kStart);
+    }
+    ledger.FinishLoading();
+    BOOST_REQUIRE_MESSAGE(AdmitDurably(ledger, Demand(kBudget, kMaximum), offset),
+                          "refused by owner " << owner);
+    durable = ledger.SpendAtEnd(Claim(ledger, kMaximum), TokenCount(kMaximum));
+    BOOST_TEST(durable.ceiling.value() <= (owner + 1) * kMaximum * 6);
+  }
+}
+
 // Guards against turns that exceed their initial share and together hand out more unrecorded tokens
 // than the maximum of one turn.
 BOOST_AUTO_TEST_CASE(extension_by_more_than_one_turn_beyond_the_ceiling_needs_a_record) {
