Keep the request to stop a loop when a server is destroyed

A daemon that had ended its planned stop with no connection open went on as a member that serves nothing, until its SIGKILL; turns whose partitions it held waited for their records until their deadlines.

Cause: destroys the server for callers before it stops the loop. h2o runs the loop once more while it disposes of its context, and libuv forgets a request to stop at the end of each run.

Evidence: loop/stop_is_kept_when_a_server_is_destroyed.

--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -92,6 +92,7 @@
 struct Loop::Impl {
   uv_loop_t loop{};
   uv_idle_t idle{};
+  bool stopped = false;
   std::deque<std::function<void()>> posted;
   std::vector<std::unique_ptr<SignalWatcher>> signals;
   std::function<void(const std::exception&)> on_error;
@@ -157,10 +158,15 @@
 }
 
 void Loop::Run() {
-  uv_run(&impl_->loop, UV_RUN_DEFAULT);
+  impl_->stopped = false;
+  while (!impl_->stopped && uv_run(&impl_->loop, UV_RUN_ONCE) != 0) {
+  }
 }
 
 void Loop::Stop() {
+  // h2o runs the loop once more while it disposes of a context, which would reset the flag of
+  // libuv.
+  impl_->stopped = true;
   uv_stop(&impl_->loop);
 }
 
--- a/src/net/loop_test.cc
+++ b/src/net/loop_test.cc
@@ -85,6 +85,27 @@
   }
 }
 
+// Guards against a process that never ends: h2o runs the loop once more while it disposes of a
+// server, which lost the request to stop.
+BOOST_AUTO_TEST_CASE(stop_is_kept_when_a_server_is_destroyed) {
+  Loop loop;
+  auto server = std::make_unique<HttpServer>(loop, HttpServerOptions{.listen = kAnyLoopbackPort},
+                                             [](const HttpRequest&, const HttpResponderPtr&) {});
+  constexpr int kMaxRounds = 1000;
+  int rounds = 0;
+  const Timer keeps_running = loop.Every(std::chrono::milliseconds(1), [&] {
+    if (++rounds == kMaxRounds) {
+      loop.Stop();
+    }
+  });
+  loop.Post([&] {
+    server.reset();
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_TEST(rounds < kMaxRounds);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
