Make room among closing connections at the expense of delivered ones

The oldest connection was closed, whether its response was delivered or not.

Change: the oldest whose client has everything is closed first. Evidence: connection_close/delivered_connections_are_closed_first.

--- a/src/net/connection_close_test.cc
+++ b/src/net/connection_close_test.cc
@@ -247,6 +247,31 @@
   BOOST_TEST(EndsWithLargeBody(client.received()));
 }
 
+// Guards against a response that is destroyed because connections behind delivered responses fill
+// the bound.
+BOOST_AUTO_TEST_CASE(delivered_connections_are_closed_first) {
+  Loop loop;
+  HttpServer server(loop, {.listen = kAnyLoopbackPort},
+                    [&](const HttpRequest& request, const HttpResponderPtr& responder) {
+                      responder->Respond(
+                          200, {}, std::string(request.path == "/order" ? kLargeBytes : 1, 'x'));
+                    });
+  server.DisableKeepAlive();
+  SlowClient slow(server.address());
+  slow.Send(kPost);
+  RunUntil(loop, [&] { return server.SummariseConnections().closing == 1; });
+  slow.Send(kPost);
+  std::vector<std::unique_ptr<SlowClient>> quick;
+  for (int i = 0; i < 260; ++i) {
+    quick.push_back(std::make_unique<SlowClient>(server.address()));
+    quick.back()->Send("GET /small HTTP/1.1\r\nHost: test\r\n\r\n");
+    quick.back()->ReadToTheEnd(loop);
+  }
+  slow.ReadToTheEnd(loop);
+  BOOST_TEST(EndsWithLargeBody(slow.received()));
+  BOOST_TEST(!slow.reset());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
--- a/src/net/lingering_sockets.cc
+++ b/src/net/lingering_sockets.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -42,7 +43,7 @@
   }
   shutdown(kept, SHUT_WR);
   if (sockets_.size() >= kMaxSockets) {
-    Close(sockets_.begin());
+    CloseOne();
   }
   const DeliveryWait wait(loop_.Now(), options.wait);
   sockets_.push_back({.fd = kept, .options = options, .wait = wait});
@@ -79,6 +80,13 @@
   }
 }
 
+void LingeringSockets::CloseOne() {
+  const auto delivered = std::find_if(sockets_.begin(), sockets_.end(), [](const Socket& socket) {
+    return ReadSocketState(socket.fd).undelivered_bytes == 0;
+  });
+  Close(delivered == sockets_.end() ? sockets_.begin() : delivered);
+}
+
 LingeringSockets::Iterator LingeringSockets::Close(Iterator socket) {
   const SocketState state = ReadSocketState(socket->fd);
   if (on_lossy_close_ && (state.undelivered_bytes > 0 || state.unread_bytes > 0)) {
--- a/src/net/lingering_sockets.h
+++ b/src/net/lingering_sockets.h
@@ -31,7 +31,7 @@
   ~LingeringSockets();
 
   /// @brief Ends the direction to the client and keeps the connection of `fd`, whose owner closes
-  /// `fd` itself. Beyond a number of connections the oldest one is closed.
+  /// `fd` itself. The number of connections is limited.
   void Add(int fd, LingeringSocketOptions options);
   void CloseAll();
   std::vector<int> file_descriptors() const;
@@ -46,6 +46,8 @@
   using Iterator = std::list<Socket>::iterator;
 
   void Check();
+  /// @brief Makes room: closes the oldest connection whose client has everything, else the oldest.
+  void CloseOne();
   Iterator Close(Iterator socket);
 
   Loop& loop_;
