--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -232,6 +232,8 @@
   /// that may not be complete at `end`, when the process ends, are refused.
   void Drain(MonotonicTime end, std::function<void()> on_released);
   std::size_t open_requests() const;
+  /// @brief Bytes of messages that other daemons have not acknowledged.
+  std::size_t undelivered_peer_bytes() const;
   /// @brief The structured event log of the process.
   telemetry::EventLog& events();
   /// @brief The metrics in the Prometheus text format.
--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -381,6 +381,9 @@
   virtual bool open() const = 0;
   /// @brief Bytes queued and not yet handed to the socket.
   virtual std::size_t pending_bytes() const = 0;
+  /// @brief Bytes queued or not yet acknowledged by the peer's socket; 0 if the connection is not
+  /// open.
+  virtual std::size_t undelivered_bytes() const = 0;
 };
 using PeerConnectionPtr = std::shared_ptr<PeerConnection>;
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -469,6 +469,10 @@
   return impl_->calls.size() + impl_->router.open_turns();
 }
 
+std::size_t Gateway::undelivered_peer_bytes() const {
+  return impl_->links == nullptr ? 0 : impl_->links->undelivered_bytes();
+}
+
 telemetry::EventLog& Gateway::events() {
   return impl_->context.events;
 }
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -278,6 +278,17 @@
   }
 }
 
+std::size_t PeerLinks::undelivered_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [daemon, outgoing] : outgoing_) {
+    bytes += outgoing.connection == nullptr ? 0 : outgoing.connection->undelivered_bytes();
+  }
+  for (const auto& [key, incoming] : incoming_) {
+    bytes += incoming->connection->undelivered_bytes();
+  }
+  return bytes;
+}
+
 Duration PeerLinks::PeriodFor(const Member& member) const {
   return member.zone == context_.options.self.zone ? periods_.same_zone : periods_.other_zone;
 }
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -69,6 +69,8 @@
   std::vector<DaemonId> WritablePeers() const;
   /// @brief Daemons with an open connection.
   std::vector<DaemonId> OpenPeers() const;
+  /// @brief Bytes of messages that other daemons have not acknowledged.
+  std::size_t undelivered_bytes() const;
 
  private:
   struct Outgoing {
--- a/src/net/peer_connection.cc
+++ b/src/net/peer_connection.cc
@@ -17,6 +17,7 @@
   void Close() override { stream_->Close(); }
   bool open() const override { return stream_->open(); }
   std::size_t pending_bytes() const override { return stream_->pending_bytes(); }
+  std::size_t undelivered_bytes() const override { return stream_->undelivered_bytes(); }
 
  private:
   std::shared_ptr<PeerStream> stream_;
--- a/src/net/peer_stream.cc
+++ b/src/net/peer_stream.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "src/net/socket_address.h"
+#include "src/net/socket_state.h"
 
 namespace acaciaspring::net {
 
@@ -148,6 +149,14 @@
   }
 }
 
+std::size_t PeerStream::undelivered_bytes() const {
+  uv_os_fd_t fd = -1;
+  if (!open() || uv_fileno(reinterpret_cast<const uv_handle_t*>(&socket_), &fd) != 0) {
+    return 0;
+  }
+  return pending_.size() + (writing_ ? sending_.size() : 0) + ReadSocketState(fd).undelivered_bytes;
+}
+
 void PeerStream::Send(std::string_view payload) {
   if (state_ == State::kClosed) {
     return;
--- a/src/net/peer_stream.h
+++ b/src/net/peer_stream.h
@@ -35,6 +35,7 @@
   void CloseWithoutCallback();
   bool open() const { return state_ == State::kOpen; }
   std::size_t pending_bytes() const { return pending_.size() + handshake_queue_bytes_; }
+  std::size_t undelivered_bytes() const;
 
  private:
   enum class State : std::uint8_t { kConnecting, kHandshake, kOpen, kClosed };
