--- a/src/net/connection_close_test.cc
+++ b/src/net/connection_close_test.cc
@@ -68,6 +68,7 @@
   }
   const std::string& received() const { return received_; }
   bool reset() const { return reset_; }
+  bool over() const { return reset_ || ended_; }
 
  private:
   int fd_;
@@ -272,6 +273,39 @@
   BOOST_TEST(!slow.reset());
 }
 
+// Guards against a response that is destroyed by the idle timeout of its kept connection.
+BOOST_AUTO_TEST_CASE(idle_timeout_keeps_an_undelivered_response) {
+  Loop loop;
+  HttpServer server(loop,
+                    {.listen = kAnyLoopbackPort, .io_timeout = std::chrono::milliseconds(400)},
+                    [&](const HttpRequest&, const HttpResponderPtr& responder) {
+                      responder->Respond(200, {}, std::string(kLargeBytes, 'x'));
+                    });
+  SlowClient client(server.address());
+  client.Send(kPost);
+  RunUntil(loop, [&] { return server.SummariseConnections().connections == 1; });
+  RunUntil(loop, [&] { return server.SummariseConnections().connections == 0; });
+  client.Send(kPost);
+  client.ReadToTheEnd(loop);
+  BOOST_TEST(EndsWithLargeBody(client.received()));
+}
+
+// Guards against a response that is broken off although its client keeps reading.
+BOOST_AUTO_TEST_CASE(steady_reader_is_not_stalled) {
+  constexpr std::size_t kBytes = std::size_t{16} << 20;
+  Loop loop;
+  HttpServer server(loop,
+                    {.listen = kAnyLoopbackPort, .io_timeout = std::chrono::milliseconds(400)},
+                    [&](const HttpRequest&, const HttpResponderPtr& responder) {
+                      responder->Respond(200, {}, std::string(kBytes, 'x'));
+                    });
+  SlowClient client(server.address());
+  client.Send(kPost);
+  const Timer reads = loop.Every(std::chrono::milliseconds(2), [&] { client.ReadSome(); });
+  RunUntil(loop, [&] { return client.over() || client.received().size() > kBytes; });
+  BOOST_TEST(client.received().size() > kBytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
