Reset the connection of an aborted response that has neither length nor chunks

What callers saw: a response that had begun and broke off, and whose connection then ended in order: it looked whole. It concerns every response that is passed on before it is complete and whose status is not 200: a stream with 201 or 206, errors above 256 KB, and all aborted responses to callers of HTTP/1.0.

Cause: an aborted response ended with an orderly end of its connection, which shows the break only if the response has chunks. h2o uses none for HTTP/1.0 and, whatever the version, none for a status other than 200.

Change: whether an orderly end would complete the response is read from its framing when it is aborted (no length, no chunks, head handed to h2o), not from the status; only then the connection is reset. Where it isn't necessary, the connection ends as before, because a reset destroys earlier responses that are still on their way.

What remains: a daemon that is killed within such a response ends its connection in order; only chunks of our own would show that.

--- a/src/net/http_responder.cc
+++ b/src/net/http_responder.cc
@@ -153,7 +153,7 @@
     if (loop_.Now() - send_started_ > io_timeout) {
       // Makes the pending write fail, after which h2o disposes of the request.
       stalled_ = true;
-      shutdown(FileDescriptor(), SHUT_RDWR);
+      Disconnect();
     }
     return;
   }
@@ -174,8 +174,23 @@
   }
 }
 
-void H2oResponder::AbortConnection() {
+void H2oResponder::Disconnect() {
   const int fd = FileDescriptor();
+  const bool has_length = request_->res.content_length != SIZE_MAX;
+  const bool is_chunked =
+      h2o_find_header(&request_->res.headers, H2O_TOKEN_TRANSFER_ENCODING, -1) != -1;
+  if (head_sent_ && !has_length && !is_chunked) {
+    // An orderly end of the connection would complete the response, so it is reset instead: on
+    // Linux, by connecting the socket to an AF_UNSPEC address. h2o uses no chunks for HTTP/1.0 and
+    // for a status other than 200.
+    const sockaddr unspecified{.sa_family = AF_UNSPEC, .sa_data = {}};
+    static_cast<void>(connect(fd, &unspecified, sizeof(unspecified)));
+  } else {
+    shutdown(fd, SHUT_RDWR);
+  }
+}
+
+void H2oResponder::AbortConnection() {
   request_->http1_is_persistent = 0;
   if (!started_) {
     started_ = true;
@@ -186,11 +201,11 @@
   if (!in_flight_ && !final_sent_) {
     final_sent_ = true;
     in_flight_ = true;
-    shutdown(fd, SHUT_RDWR);
+    Disconnect();
     h2o_send(request_, nullptr, 0, H2O_SEND_STATE_ERROR);
     return;
   }
-  shutdown(fd, SHUT_RDWR);
+  Disconnect();
 }
 
 int H2oResponder::FileDescriptor() const {
--- a/src/net/http_responder.h
+++ b/src/net/http_responder.h
@@ -49,6 +49,8 @@
   void OnProceed();
   void HandleConnectionLoss();
   void AbortConnection();
+  /// @brief Ends the connection so that the response cannot be taken for a complete one.
+  void Disconnect();
   int FileDescriptor() const;
 
   Loop& loop_;
--- a/src/net/test_support.h
+++ b/src/net/test_support.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASPRING_SRC_NET_TEST_SUPPORT_H_
 #define ACACIASPRING_SRC_NET_TEST_SUPPORT_H_
 
+#include <sys/socket.h>
 #include <uv.h>
 
 #include <array>
@@ -83,10 +84,19 @@
       shutdown(fd, SHUT_RDWR);
     }
   }
+  /// @brief Ends the direction to the peer; the other one stays open.
+  void EndSending() {
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&socket_->handle), &fd) == 0) {
+      shutdown(fd, SHUT_WR);
+    }
+  }
   const std::string& received() const { return socket_->received; }
   void ClearReceived() { socket_->received.clear(); }
   /// @brief True if the peer has closed or reset the connection.
   bool ended() const { return socket_->ended; }
+  /// @brief True if the connection ended by an error, so not in order.
+  bool failed() const { return socket_->failed; }
   bool connected() const { return socket_->connected; }
 
  private:
@@ -98,8 +108,16 @@
     std::array<char, 65536> buffer{};
     bool connected = false;
     bool ended = false;
+    bool failed = false;
 
     uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&handle); }
+    /// libuv reports a reset that follows data as an orderly end.
+    bool HasError() const {
+      uv_os_fd_t fd = -1;
+      char byte = 0;
+      return uv_fileno(reinterpret_cast<const uv_handle_t*>(&handle), &fd) != 0 ||
+             recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+    }
     void Start() {
       connected = true;
       SendNow();
@@ -113,6 +131,7 @@
             auto* self = static_cast<Socket*>(reading->data);
             if (size < 0) {
               self->ended = true;
+              self->failed = size != UV_EOF || self->HasError();
               uv_read_stop(reading);
             } else {
               self->received.append(data->base, static_cast<std::size_t>(size));
