Count a whole event of a broken turn once

What callers saw: 402 with one event's tokens of the budget left, after a turn that broke off behind a whole event whose blank line had come in a read of its own, or whose lines ended with CRLF.

Cause: a turn counted a partial event whenever the last bytes read weren't "\n\n", and such an event as a second one.

Evidence: turn_router/whole_events_of_a_broken_turn_are_counted_once failed before for three of its four streams (spent 200 instead of 100); all pass now.

Change: the boundary of the stream, which knows all line ends of the format, says whether an event is partial.

--- a/src/gateway/turn_router_test.cc
+++ b/src/gateway/turn_router_test.cc
@@ -171,6 +171,34 @@
   BOOST_TEST(tokens <= kBudget + kTurnTokens);
 }
 
+// Guards against a budget that counts one event too many for a broken turn whose last event is
+// whole, because its blank line came in a read of its own or its lines end with CRLF.
+BOOST_AUTO_TEST_CASE(whole_events_of_a_broken_turn_are_counted_once) {
+  const std::vector<std::vector<std::string>> streams = {
+      {"data: a\n\n"}, {"data: a\n", "\n"}, {"data: a\r\n\r\n"}, {"data: a\r\n\r", "\n"}};
+  for (std::size_t i = 0; i < streams.size(); ++i) {
+    program = ProgramId("p" + std::to_string(i));
+    engine.hold_responses = true;
+    engine.held_response.reset();
+    const auto broken = Submit("broken" + std::to_string(i), "", 2 * kTurnTokens);
+    Until([&] { return engine.held_response != nullptr; });
+    engine.held_response->Start(200, {{"content-type", "text/event-stream"}});
+    std::string sent;
+    for (const std::string& part : streams[i]) {
+      engine.held_response->Write(part);
+      sent += part;
+      Until([&] { return broken->data() == sent; });
+    }
+    engine.held_response->Abort();
+    RunToEnd(broken);
+    BOOST_TEST(!broken->aborted().empty());
+    engine.hold_responses = false;
+    const auto next = Submit("next" + std::to_string(i), "", 2 * kTurnTokens);
+    RunToEnd(next);
+    BOOST_TEST(next->status() == 200, sent);
+  }
+}
+
 // Guards against a stream that is executed twice.
 BOOST_AUTO_TEST_CASE(interrupted_turn_is_not_retried) {
   engine.abort_responses = true;
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -123,8 +123,7 @@
   if (first_event_at_ == MonotonicTime()) {
     first_event_at_ = context_.loop.Now();
   }
-  // A partially received event counts as a whole one.
-  partial_event_ = data.ends_with("\n\n") ? 0 : 1;
+  stream_boundary_.Feed(data);
   for (const net::SseEvent& event : parser_.Feed(data)) {
     ++events_received_;
     if (request_.retained) {
@@ -189,7 +188,7 @@
 }
 
 void TurnRun::Complete() {
-  partial_event_ = 0;
+  stream_boundary_ = {};
   if (!request_.retained || status_ != 200) {
     Settle();
     FlushDelayedData();
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -123,7 +123,7 @@
   net::Timer delayed_data_timer_;
   std::optional<Outcome> call_outcome_;
   std::uint64_t events_received_ = 0;
-  std::uint64_t partial_event_ = 0;
+  net::SseBoundary stream_boundary_;
   ledger::TurnClaim claim_;
   /// Tokens used by the turn; set when it is settled.
   TokenCount settled_tokens_;
--- a/src/gateway/turn_run_budget.cc
+++ b/src/gateway/turn_run_budget.cc
@@ -123,7 +123,8 @@
 }
 
 TokenCount TurnRun::UsedTokens() const {
-  return TokenCount((events_received_ + partial_event_) * request_.tokens_per_event.value());
+  const std::uint64_t partial_events = stream_boundary_.inside_event() ? 1 : 0;
+  return TokenCount((events_received_ + partial_events) * request_.tokens_per_event.value());
 }
 
 void TurnRun::Settle() {
