Treat a large error for a stream as an error, not as a cut stream

What callers saw: an error of more than 256 KB for a stream, with neither length nor chunks, was broken off although the endpoint had sent it whole.

Cause: an error is buffered and passed on from 256 KB; from then on its bytes were read as events, and an end inside an event is a break.

Evidence: broken_response/large_responses_are_not_run_again_once_they_have_begun failed before for 4 of its 192 cases (two kinds of streams, with and without Connection: close); all pass now.

The table of tests with it: each kind of request, four framings (length, chunks, neither, neither with Connection: close), four ends (close, half-close, reset, silence), five cuts, last bytes and end in one read and in two, five responses of the next endpoint. All its other cases passed at once: no byte of a second response in a started one, no broken response delivered as whole, no second run of a request that may run once.

--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -31,6 +31,10 @@
   return plan_.kind == RequestKind::kStream || plan_.kind == RequestKind::kResumableStream;
 }
 
+bool EndpointCall::HasEvents() const {
+  return IsStream() && status_ < 300;
+}
+
 bool EndpointCall::MayRunAgain() const {
   return plan_.kind == RequestKind::kIdempotent && !delivering_;
 }
@@ -162,7 +166,7 @@
   }
   // Only successful streams are forwarded at once; errors are buffered, because an idempotent
   // request may be repeated at another endpoint.
-  if (IsStream() && status < 300) {
+  if (HasEvents()) {
     StartDelivery();
   }
 }
@@ -182,7 +186,7 @@
     return;
   }
   if (delivering_) {
-    if (IsStream()) {
+    if (HasEvents()) {
       stream_boundary_.Feed(data);
     }
     MeasureStream(data);
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -94,6 +94,8 @@
   void MeasureStream(std::string_view data);
   void Finish(const Outcome& outcome);
   bool IsStream() const;
+  /// @brief True if the body of the response is a stream of events, not an error.
+  bool HasEvents() const;
   bool MayRunAgain() const;
 
   Context& context_;
