Believe a response without an id only where no earlier one can be repeated

Callers were told "not run, try again" for requests that the server ran (REFUSED), or the request ran at a second server as well (TWICE).

Cause: HttpConnection required the echoed id of successful responses only, and EndpointCall took each response with Not-Executed, or with status 421, as proof for its own request.

Now net::FindResponseOwner decides for each response, whatever its status. The id of the request is proof. Without an id only the first response on a connection is believed, and the connection is then closed. Otherwise the exchange is interrupted and names the status, the connection is closed, and the attempt counts as one that may have run: only idempotent requests are sent again, other callers get 502. Such a response reaches neither the rate limits nor the evidence about crashes, and is logged as response_not_believed.

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -234,8 +234,9 @@
   /// Limits the time for connecting if it is shorter than `io_timeout`.
   Duration connect_timeout = std::chrono::seconds(30);
   /// Name, in lower case, of a header in which the server echoes `echo_value`. A response with
-  /// another value belongs to an earlier request on the connection and is discarded. Empty disables
-  /// the check.
+  /// another value belongs to an earlier request on the connection and is discarded. One without
+  /// a value interrupts the request unless it is the first on its connection, which is not used
+  /// again. The check is disabled if either is empty.
   std::string echo_header = {};
   std::string echo_value = {};
   /// Accepts a response without a length as complete when the server closes the connection cleanly.
@@ -255,6 +256,9 @@
 /// timeout from a failed connection.
 struct HttpInterrupted {
   bool timed_out = false;
+  /// Status of a response that may belong to an earlier request and was discarded; 0 if there was
+  /// none.
+  int unidentified_status = 0;
 };
 using HttpResult = std::variant<HttpFinished, HttpNotSent, HttpInterrupted>;
 
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -39,8 +39,8 @@
      "turn was acknowledged (see event store_lost)"},
     {"deadline_exceeded", "the deadline passed before an endpoint ran the request"},
     {"connection_lost",
-     "the connection to the endpoint closed before the response was complete; see event "
-     "attempt_failed"},
+     "the connection to the endpoint closed before the response was complete, or its response may "
+     "belong to another request; see events attempt_failed and response_not_believed"},
     {"no_endpoint", "no endpoint of the service is registered as ready"},
     {"overloaded", "every endpoint that was tried rejected the request without running it"},
     {"endpoint_unavailable", "the endpoints that were tried refused the connection"},
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -224,22 +224,21 @@
     OnRejected();
     return;
   }
-  std::visit(Overloaded{[&](const net::HttpFinished&) {
-                          if (IsStream() && stream_boundary_.inside_event()) {
-                            // The endpoint broke the stream off, whatever its framing says.
-                            OnInterrupted(/*timed_out=*/false);
-                          } else {
-                            OnResponseComplete();
-                          }
-                        },
-                        [&](const net::HttpNotSent&) {
-                          EndAttempt(AttemptResult::kFailed);
-                          RetryOrFinish(NotRun{.reason = NotRunReason::kEndpointUnavailable});
-                        },
-                        [&](const net::HttpInterrupted& interrupted) {
-                          OnInterrupted(interrupted.timed_out);
-                        }},
-             result);
+  std::visit(
+      Overloaded{[&](const net::HttpFinished&) {
+                   if (IsStream() && stream_boundary_.inside_event()) {
+                     // The endpoint broke the stream off, whatever its framing says.
+                     OnInterrupted({});
+                   } else {
+                     OnResponseComplete();
+                   }
+                 },
+                 [&](const net::HttpNotSent&) {
+                   EndAttempt(AttemptResult::kFailed);
+                   RetryOrFinish(NotRun{.reason = NotRunReason::kEndpointUnavailable});
+                 },
+                 [&](const net::HttpInterrupted& interrupted) { OnInterrupted(interrupted); }},
+      result);
 }
 
 void EndpointCall::OnResponseComplete() {
@@ -298,13 +297,16 @@
   Finish(Unknown{.reason = UnknownReason::kConnectionLost});
 }
 
-void EndpointCall::OnInterrupted(bool timed_out) {
+void EndpointCall::OnInterrupted(const net::HttpInterrupted& interrupted) {
   ++possible_runs_;
-  if (!timed_out) {
+  if (interrupted.unidentified_status != 0) {
+    LogUnidentifiedResponse(interrupted.unidentified_status);
+  } else if (!interrupted.timed_out) {
     ReportInterruption();
   }
   EndAttempt(AttemptResult::kFailed);
-  const Unknown unknown{timed_out ? UnknownReason::kTimeout : UnknownReason::kConnectionLost};
+  const Unknown unknown{interrupted.timed_out ? UnknownReason::kTimeout
+                                              : UnknownReason::kConnectionLost};
   if (MayRunAgain()) {
     RetryOrFinish(unknown);
   } else {
@@ -318,7 +320,7 @@
     return;
   }
   http_call_->Cancel();
-  OnInterrupted(/*timed_out=*/true);
+  OnInterrupted({.timed_out = true});
 }
 
 void EndpointCall::OnDeadline() {
@@ -355,17 +357,6 @@
   Finish(outcome);
 }
 
-void EndpointCall::LogAttempt(AttemptResult result) const {
-  context_.events.Write("attempt_failed",
-                        {{"id", plan_.id.value()},
-                         {"fingerprint", ToString(Fingerprints().whole)},
-                         {"endpoint", endpoint_.value()},
-                         {"why", result == AttemptResult::kRejected ? "not_executed" : "failed"},
-                         {"status", static_cast<std::int64_t>(status_)},
-                         {"attempts", static_cast<std::int64_t>(attempts_)},
-                         {"runs", static_cast<std::int64_t>(possible_runs_)}});
-}
-
 void EndpointCall::EndAttempt(AttemptResult result) {
   in_flight_ = false;
   if (result == AttemptResult::kRejected || result == AttemptResult::kFailed) {
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -80,7 +80,7 @@
   void OnRejected();
   /// @brief Ends the attempt without waiting for the end of the rejection's body.
   void AbandonRejection();
-  void OnInterrupted(bool timed_out);
+  void OnInterrupted(const net::HttpInterrupted& interrupted);
   void OnResponseTooLarge();
   void OnDeadline();
   void OnAttemptTimeout();
@@ -88,6 +88,7 @@
   void RetryOrFinish(const Outcome& outcome);
   void EndAttempt(AttemptResult result);
   void LogAttempt(AttemptResult result) const;
+  void LogUnidentifiedResponse(int status) const;
   RequestContent Content() const;
   RequestFingerprints Fingerprints(const ShorterSizes& shorter_sizes = {}) const;
   void StartDelivery();
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -16,7 +16,6 @@
 
 // Responses to earlier requests that are longer than this close the connection.
 constexpr std::size_t kMaxStaleBytes = std::size_t{1} << 20;
-constexpr int kFirstErrorStatus = 400;
 
 HttpConnection& FromParser(http_parser* parser) {
   return *static_cast<HttpConnection*>(parser->data);
@@ -149,8 +148,9 @@
     }
     data.remove_prefix(parsed);
     if (!stale_) {
-      // A server that has sent one response twice may do so again.
-      FinishResponse(keep_alive_ && data.empty() && !writing_ && !had_stale_);
+      // A server that has sent one response twice may do so again, and a copy of a response without
+      // an id could not be told from the next one.
+      FinishResponse(keep_alive_ && data.empty() && !writing_ && !had_stale_ && has_echo_);
       return;
     }
     if (!keep_alive_) {
@@ -220,18 +220,21 @@
     headers_.clear();
     return 0;
   }
-  stale_ = IsStaleResponse();
-  if (stale_) {
-    had_stale_ = true;
-    return 0;
-  }
-  if (LacksExpectedEcho()) {
-    return kStop;
+  const int status = static_cast<int>(parser_.status_code);
+  switch (IdentifyResponse()) {
+    case ResponseOwner::kEarlierRequest:
+      stale_ = true;
+      had_stale_ = true;
+      return 0;
+    case ResponseOwner::kUnknown:
+      DiscardUnidentified(status);
+      return kStop;
+    case ResponseOwner::kCurrentRequest:
+      break;
   }
-  echo_seen_ = echo_seen_ || !FindHeader(headers_, request_.echo_header).empty();
   ParseKeepAliveTimeout();
   if (delegate_ != nullptr) {
-    delegate_->OnHead(static_cast<int>(parser_.status_code), headers_);
+    delegate_->OnHead(status, headers_);
   }
   if (closed_) {
     return kStop;
@@ -239,20 +242,23 @@
   return request_.expects_body ? 0 : kNoBody;
 }
 
-bool HttpConnection::IsStaleResponse() const {
-  if (request_.echo_header.empty()) {
-    return false;
-  }
-  const std::string_view echo = FindHeader(headers_, request_.echo_header);
-  return !echo.empty() && echo != request_.echo_value;
+ResponseOwner HttpConnection::IdentifyResponse() {
+  const bool needs_echo = !request_.echo_header.empty() && !request_.echo_value.empty();
+  const std::string_view echo =
+      needs_echo ? FindHeader(headers_, request_.echo_header) : std::string_view();
+  has_echo_ = !needs_echo || !echo.empty();
+  return FindResponseOwner(
+      {.request_id = needs_echo ? std::string_view(request_.echo_value) : std::string_view(),
+       .echoed_id = echo,
+       .has_earlier_response = std::exchange(has_response_, true)});
 }
 
-bool HttpConnection::LacksExpectedEcho() const {
-  // After a response with an id, a successful one without an id may be a late copy. Servers reject
-  // requests without an id in the response, which delivers no data.
-  return echo_seen_ && !request_.echo_header.empty() &&
-         static_cast<int>(parser_.status_code) < kFirstErrorStatus &&
-         FindHeader(headers_, request_.echo_header).empty();
+void HttpConnection::DiscardUnidentified(int status) {
+  Delegate* const delegate = std::exchange(delegate_, nullptr);
+  Close();
+  if (delegate != nullptr) {
+    delegate->OnUnidentifiedResponse(status);
+  }
 }
 
 void HttpConnection::ParseKeepAliveTimeout() {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "acaciaspring/net.h"
+#include "src/net/response_proof.h"
 
 namespace acaciaspring::net {
 
@@ -33,6 +34,8 @@
     virtual void OnComplete(bool reusable) = 0;
     /// @brief The connection failed or was closed by the server, and is now closed.
     virtual void OnDisconnected() = 0;
+    /// @brief A response arrived that may belong to an earlier request. The connection is closed.
+    virtual void OnUnidentifiedResponse(int status) = 0;
   };
 
   explicit HttpConnection(Loop& loop) : loop_(loop) {}
@@ -74,8 +77,9 @@
   /// @brief True if the server has closed the connection and not reset it.
   bool HasOrderlyEnd();
   void StartParser();
-  bool IsStaleResponse() const;
-  bool LacksExpectedEcho() const;
+  /// @brief The request that the response whose head has arrived belongs to.
+  ResponseOwner IdentifyResponse();
+  void DiscardUnidentified(int status);
   void ParseKeepAliveTimeout();
   void FinishResponse(bool reusable);
   void StoreHeader();
@@ -104,8 +108,10 @@
   std::size_t stale_bytes_ = 0;
   /// A stale response was received during the current exchange.
   bool had_stale_ = false;
-  /// The server has echoed the id of a request on this connection.
-  bool echo_seen_ = false;
+  /// The head of a response has arrived on this connection.
+  bool has_response_ = false;
+  /// The response being read has the id of its request, or needs none.
+  bool has_echo_ = false;
   bool writing_ = false;
   /// A write found that the server has reset the connection.
   bool reset_ = false;
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -142,6 +142,11 @@
   }
 }
 
+void HttpExchange::OnUnidentifiedResponse(int status) {
+  connection_.reset();
+  Finish(HttpInterrupted{.unidentified_status = status});
+}
+
 void HttpExchange::ArmTimer(Duration delay) {
   timer_ =
       loop_.After(std::min(delay, std::max(RemainingTotal(), Duration(0))), [this] { OnTimer(); });
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -32,6 +32,7 @@
   void OnData(std::string_view data) override;
   void OnComplete(bool reusable) override;
   void OnDisconnected() override;
+  void OnUnidentifiedResponse(int status) override;
 
  private:
   void ArmTimer(Duration delay);
