HTTP client: close the idle connections to one server

An endpoint that leaves must not keep connections of this daemon open. Calls that run are not affected. Test: http_client/idle_connections_to_one_server_are_closed (the function is new, so there is no run on old code).

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -292,6 +292,8 @@
   ~HttpClient();
   /// @brief Throws AddressError when the server's ip is not an IPv4 address.
   std::shared_ptr<HttpCall> Send(HttpClientRequest request, HttpCallbacks callbacks);
+  /// @brief Closes the connections to the server that no call uses at this time.
+  void CloseIdleConnections(const Address& server);
   Loop& loop() const;
 
  private:
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -56,6 +56,10 @@
   return impl_->loop;
 }
 
+void HttpClient::CloseIdleConnections(const Address& server) {
+  impl_->pool->CloseAll(server);
+}
+
 std::shared_ptr<HttpCall> HttpClient::Send(HttpClientRequest request, HttpCallbacks callbacks) {
   const auto on_ended = [active = impl_->active](HttpExchange* ended) {
     active->exchanges.erase(ended);
--- a/src/net/http_client_test.cc
+++ b/src/net/http_client_test.cc
@@ -19,6 +19,44 @@
 
 BOOST_AUTO_TEST_SUITE(http_client)
 
+// Guards against idle connections that stay open to a server that leaves, and against responses
+// that are cut off when they are closed.
+BOOST_AUTO_TEST_CASE(idle_connections_to_one_server_are_closed) {
+  Loop loop;
+  RawServer leaving(loop);
+  RawServer other(loop);
+  HttpClient client(loop, {});
+  const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx";
+  std::size_t done = 0;
+  std::vector<std::shared_ptr<HttpCall>> calls;
+  for (const Address& server : {leaving.address(), leaving.address(), other.address()}) {
+    calls.push_back(client.Send({.server = server}, {.on_done = [&](const HttpResult& result) {
+                                  done += std::holds_alternative<HttpFinished>(result) ? 1 : 0;
+                                }}));
+  }
+  const auto has_request = [](RawServer& server, std::size_t connection) {
+    return server.connections().size() > connection &&
+           !server.connections()[connection]->received().empty();
+  };
+  RunUntil(loop, [&] {
+    return has_request(leaving, 0) && has_request(leaving, 1) && has_request(other, 0);
+  });
+  leaving.connections()[0]->Send(response);
+  other.connections()[0]->Send(response);
+  RunUntil(loop, [&] { return done == 2; });
+  client.CloseIdleConnections(leaving.address());
+  client.CloseIdleConnections(leaving.address());
+  RunUntil(loop, [&] { return leaving.connections()[0]->ended(); });
+  BOOST_TEST(!other.connections()[0]->ended());
+  leaving.connections()[1]->Send(response);
+  RunUntil(loop, [&] { return done == 3; });
+  calls.push_back(client.Send({.server = leaving.address()}, {}));
+  RunUntil(loop, [&] {
+    return leaving.connections()[1]->received().find("GET", 1) != std::string::npos;
+  });
+  BOOST_TEST(leaving.connections().size() == 2U);
+}
+
 // Guards against loss or modification of parts of a request or response between client and server.
 BOOST_AUTO_TEST_CASE(request_and_response_are_transferred_completely) {
   Loop loop;
--- a/src/net/http_pool.cc
+++ b/src/net/http_pool.cc
@@ -61,6 +61,17 @@
                          .idle_timeout = idle_timeout});
 }
 
+void HttpPool::CloseAll(const Address& server) {
+  const auto found = idle_.find(server);
+  if (found == idle_.end()) {
+    return;
+  }
+  for (const IdleConnection& idle : found->second) {
+    idle.connection->Close();
+  }
+  idle_.erase(found);
+}
+
 bool HttpPool::IsExpired(const IdleConnection& idle) const {
   return loop_.Now() - idle.idle_since >= idle.idle_timeout;
 }
--- a/src/net/http_pool.h
+++ b/src/net/http_pool.h
@@ -22,6 +22,8 @@
   std::shared_ptr<HttpConnection> Acquire(const Address& server);
   /// @brief Adds a connection that is no longer in use, or closes it if the pool is full.
   void Release(const Address& server, std::shared_ptr<HttpConnection> connection);
+  /// @brief Closes the connections to the server that are in the pool.
+  void CloseAll(const Address& server);
 
  private:
   struct IdleConnection {
