Send no more work to an endpoint that says it leaves

What callers saw: calls went to servers that had said Server-Leaving, as long as the store listed them as ready. Cause: nothing read the header.

Suspected, not shown: planned_stop listens on a fixed address and fails when another run of the tests on the machine has it (reproduced).

--- a/include/acaciaspring/base.h
+++ b/include/acaciaspring/base.h
@@ -131,6 +131,8 @@
   kCancelled,
   /// The request has crashed several endpoints.
   kCrashesEndpoints,
+  /// All endpoints have said that they leave.
+  kEndpointsLeave,
 };
 
 /// @brief Why a call ended with a definite failure after it had started.
--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -179,6 +179,8 @@
   std::string not_executed = {};
   /// Requests per second that the endpoint accepts from all daemons together.
   std::string rate_limit = {};
+  /// Set to 1 by an endpoint that leaves. Between daemons it names the endpoint and its start.
+  std::string leaving = {};
 };
 
 struct GatewayOptions {
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -44,6 +44,8 @@
       return "cancelled";
     case NotRunReason::kCrashesEndpoints:
       return "crashes_endpoints";
+    case NotRunReason::kEndpointsLeave:
+      return "endpoints_leave";
   }
   return "invalid";
 }
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -21,7 +21,7 @@
   std::string_view text;
 };
 
-constexpr std::array<CauseDescription, 15> kCauses = {{
+constexpr std::array<CauseDescription, 16> kCauses = {{
     {"answered", "the complete response of the endpoint was forwarded to the caller"},
     {"budget_spent",
      "the remaining token budget of the program is too small for another turn; see event "
@@ -42,6 +42,9 @@
      "the connection to the endpoint closed before the response was complete; see event "
      "attempt_failed"},
     {"no_endpoint", "no endpoint of the service is registered as ready"},
+    {"endpoints_leave",
+     "every registered endpoint of the service has said in a response that it leaves; see event "
+     "endpoint_leaves"},
     {"overloaded", "every endpoint that was tried rejected the request without running it"},
     {"endpoint_unavailable", "the endpoints that were tried refused the connection"},
     {"no_route", "the configuration in force has no route for the host and path of the request"},
@@ -93,7 +96,8 @@
 /// the store, and state changes of the partition of the request.
 bool IsRelatedEvent(const LogLine& line, std::int64_t partition) {
   const std::string event = line.fields["event"].asString();
-  return event == "store_lost" || event == "store_regained" ||
+  return event == "store_lost" || event == "store_regained" || event == "endpoint_leaves" ||
+         event == "endpoint_returned" ||
          (event == "partition" && line.fields["partition"].isInt64() &&
           line.fields["partition"].asInt64() == partition);
 }
--- a/src/ctl/explain_test.cc
+++ b/src/ctl/explain_test.cc
@@ -37,6 +37,20 @@
   BOOST_TEST(text.find("cause: the deadline passed") != std::string::npos);
 }
 
+// Guards against a refusal whose cause, the word of an endpoint in the response to a different
+// request, is missing.
+BOOST_AUTO_TEST_CASE(endpoints_that_leave_are_named) {
+  std::ostringstream out;
+  BOOST_TEST(
+      (ExplainRequest("r",
+                      {R"({"time_ms":4000,"event":"endpoint_leaves","endpoint":"e","id":"x"})",
+                       R"({"time_ms":5000,"event":"request","id":"r","status":503,)"
+                       R"("outcome":"refused:endpoints_leave","total_ms":1})"},
+                      out) == ExitCode::kOk));
+  BOOST_TEST(out.str().find("endpoint_leaves  endpoint=\"e\"") != std::string::npos);
+  BOOST_TEST(out.str().find("cause: every registered endpoint") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(unknown_request_is_an_error) {
   std::ostringstream out;
   BOOST_TEST((ExplainRequest("nobody", kLines, out) == ExitCode::kFailed));
--- a/src/gateway/caller_sink.cc
+++ b/src/gateway/caller_sink.cc
@@ -3,6 +3,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "src/gateway/leaving_notice.h"
+
 namespace acaciaspring::gateway {
 
 namespace {
@@ -29,7 +31,7 @@
 
 void CallerSink::Head(int status, const net::Headers& headers) {
   status_ = status;
-  responder_->Start(status, headers);
+  responder_->Start(status, TakeRelayedLeaving(context_, id_, headers));
 }
 
 void CallerSink::Data(std::string_view data) {
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -55,6 +55,7 @@
   if (RefuseIfQuarantined()) {
     return;
   }
+  CountPassedOver();
   const MonotonicTime now = context_.loop.Now();
   const PermitQueue& queue = context_.waiting_calls.queue();
   const bool others_first = queue.CountAhead(plan_.service, plan_.priority) > 0 &&
@@ -72,11 +73,6 @@
              queue.Decide(plan_.service, plan_.priority, *forecast, now, plan_.deadline));
 }
 
-void EndpointCall::FinishWithoutEndpoint() {
-  FinishLater(NotRun{.reason = tried_endpoints_.empty() ? NotRunReason::kNoEndpoint
-                                                        : NotRunReason::kOverloaded});
-}
-
 void EndpointCall::FinishLater(const NotRun& not_run) {
   const Outcome outcome = possible_runs_ == 0
                               ? Outcome(not_run)
@@ -98,6 +94,7 @@
   StopWaiting();
   endpoint_ = endpoint->id;
   endpoint_started_at_ms_ = endpoint->started_at_ms;
+  endpoint_address_ = endpoint->address;
   tried_endpoints_.push_back(endpoint->id);
   ++attempts_;
   rejected_ = false;
@@ -156,6 +153,7 @@
   rejected_ =
       !net::FindHeader(headers, context_.options.headers.not_executed).empty() || status == 421;
   ReadRateLimit(headers);
+  ReadLeaving();
   if (rejected_) {
     attempt_timer_ = context_.loop.After(kMaxRejectionTime, [this] { AbandonRejection(); });
     return;
@@ -373,6 +371,7 @@
   }
   attempt_timer_.Cancel();
   context_.endpoints.OnFinished(endpoint_, result, context_.loop.Now());
+  CloseIdleIfLeaving();
 }
 
 void EndpointCall::Finish(const Outcome& outcome) {
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -73,6 +73,13 @@
   net::HttpClientRequest MakeRequest(const RegisteredEndpoint& endpoint) const;
   void OnHead(int status, const net::Headers& headers);
   void ReadRateLimit(const net::Headers& headers);
+  /// @brief Reads and removes the endpoint's word that it leaves.
+  void ReadLeaving();
+  /// @brief Closes the connections to an endpoint that leaves.
+  void CloseIdleIfLeaving();
+  void CountPassedOver() const;
+  /// @brief Ends a waiting call if no endpoint is left that could give it a permit.
+  bool RefuseIfAllLeave();
   void OnData(std::string_view data);
   void OnDone(const net::HttpResult& result);
   void OnResponseComplete();
@@ -102,6 +109,7 @@
   EndpointId endpoint_;
   /// Run of the endpoint at the start of the attempt.
   std::int64_t endpoint_started_at_ms_ = 0;
+  net::Address endpoint_address_;
   std::vector<EndpointId> tried_endpoints_;
   std::shared_ptr<net::HttpCall> http_call_;
   net::Timer deadline_timer_;
--- a/src/gateway/endpoint_call_crashes.cc
+++ b/src/gateway/endpoint_call_crashes.cc
@@ -31,7 +31,8 @@
   // An endpoint that is leaving ends by plan.
   const RegisteredEndpoint* endpoint = context_.endpoints.Find(endpoint_);
   if (endpoint != nullptr && endpoint->started_at_ms == endpoint_started_at_ms_ &&
-      endpoint->state == EndpointState::kReady) {
+      endpoint->state == EndpointState::kReady &&
+      !context_.endpoints.IsLeaving(endpoint_, endpoint_started_at_ms_)) {
     context_.crashes.OnInterrupted(*endpoint,
                                    {.fingerprints = Fingerprints([this](RequestFingerprint start) {
                                       return context_.crashes.evidence().LostSizes(start);
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -23,7 +23,9 @@
 
 }  // namespace
 
-void EndpointTable::SetEndpoints(std::vector<RegisteredEndpoint> endpoints) {
+std::vector<ReturnedEndpoint> EndpointTable::SetEndpoints(std::vector<RegisteredEndpoint> endpoints,
+                                                          MonotonicTime now) {
+  std::vector<ReturnedEndpoint> returned = leaving_.OnListed(endpoints, now);
   std::unordered_map<EndpointId, Entry> updated;
   for (RegisteredEndpoint& endpoint : endpoints) {
     const EndpointId id = endpoint.id;
@@ -38,16 +40,38 @@
     }
     limits_.OnListed(endpoint);
     entry.description = std::move(endpoint);
+    entry.leaving = leaving_.Contains(id, entry.description.started_at_ms);
     updated.insert_or_assign(id, std::move(entry));
   }
   endpoints_ = std::move(updated);
   UpdateServices();
+  return returned;
+}
+
+std::optional<LeavingNotice> EndpointTable::OnLeaving(const LeavingWord& word) {
+  const auto notice = leaving_.OnLeaving(word);
+  if (const auto found = endpoints_.find(word.endpoint); notice && found != endpoints_.end()) {
+    found->second.leaving = true;
+    UpdateServices();
+  }
+  return notice;
+}
+
+std::size_t EndpointTable::PassedOver(const ServiceId& service) const {
+  const auto found = passed_over_.find(service);
+  return found == passed_over_.end() ? 0 : found->second;
 }
 
 void EndpointTable::UpdateServices() {
   std::unordered_map<ServiceId, std::vector<EndpointId>> usable;
+  passed_over_.clear();
   for (const auto& [id, entry] : endpoints_) {
-    if (entry.description.state == EndpointState::kReady) {
+    if (entry.description.state != EndpointState::kReady) {
+      continue;
+    }
+    if (entry.leaving) {
+      ++passed_over_[entry.description.service];
+    } else {
       usable[entry.description.service].push_back(id);
     }
   }
@@ -140,7 +164,7 @@
 }
 
 bool EndpointTable::Eligible(const Entry& entry, const EndpointQuery& query) {
-  return entry.description.state == EndpointState::kReady &&
+  return entry.description.state == EndpointState::kReady && !entry.leaving &&
          std::find(query.excluded.begin(), query.excluded.end(), entry.description.id) ==
              query.excluded.end();
 }
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -9,6 +9,7 @@
 
 #include "acaciaspring/gateway.h"
 #include "acaciaspring/routing.h"
+#include "src/gateway/leaving_endpoints.h"
 #include "src/gateway/permit_queue.h"
 #include "src/gateway/rate_limits.h"
 
@@ -98,7 +99,22 @@
         options_(options),
         limits_({.id = options.self, .zone = zone_}, options.rate_limits) {}
 
-  void SetEndpoints(std::vector<RegisteredEndpoint> endpoints);
+  /// @brief Returns the endpoints that had said that they leave and have been started anew.
+  std::vector<ReturnedEndpoint> SetEndpoints(std::vector<RegisteredEndpoint> endpoints,
+                                             MonotonicTime now = {});
+  /// @brief Gives the endpoint no more calls until it is started anew. Returns a notice for the
+  /// first word of a start.
+  std::optional<LeavingNotice> OnLeaving(const LeavingWord& word);
+  bool IsLeaving(const EndpointId& endpoint, std::int64_t started_at_ms) const {
+    return leaving_.Contains(endpoint, started_at_ms);
+  }
+  /// @brief Number of endpoints of a service that are registered as ready and have said that they
+  /// leave.
+  std::size_t PassedOver(const ServiceId& service) const;
+  /// @brief True if there are such endpoints and no others.
+  bool AllLeave(const ServiceId& service) const {
+    return PassedOver(service) > 0 && !services_.contains(service);
+  }
   /// @brief Sets the KV memory of each engine of a service.
   void SetEngineMemory(const ServiceId& service, TokenCount memory);
   /// @brief Replaces the counts of calls that another daemon has in flight.
@@ -141,6 +157,8 @@
  private:
   struct Entry {
     RegisteredEndpoint description;
+    /// The endpoint has said that it leaves.
+    bool leaving = false;
     std::uint32_t own_in_flight = 0;
     std::uint32_t remote_in_flight = 0;
     std::uint32_t consecutive_failures = 0;
@@ -198,6 +216,9 @@
   std::unordered_map<EndpointId, Entry> endpoints_;
   /// Services with a usable endpoint.
   std::unordered_map<ServiceId, ServiceEntry> services_;
+  LeavingEndpoints leaving_;
+  /// See PassedOver; services with none are absent.
+  std::unordered_map<ServiceId, std::size_t> passed_over_;
   std::unordered_map<ServiceId, TokenCount> engine_memory_;
   RateLimits limits_;
   std::uint64_t own_changes_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -312,7 +312,14 @@
   const MonotonicTime now = context.loop.Now();
   const std::vector<RegisteredEndpoint> endpoints = endpoint_registry.Endpoints(now);
   LogEndpointChanges(endpoints);
-  context.endpoints.SetEndpoints(endpoints);
+  for (const ReturnedEndpoint& returned : context.endpoints.SetEndpoints(endpoints, now)) {
+    context.events.Write(
+        "endpoint_returned",
+        {{"endpoint", returned.endpoint.value()},
+         {"started_at_ms", returned.started_at_ms},
+         {"left_started_at_ms", returned.left_started_at_ms},
+         {"out_ms", std::chrono::duration_cast<std::chrono::milliseconds>(returned.out).count()}});
+  }
   if (const auto grace_period_end = endpoint_registry.GracePeriodEnd(now)) {
     endpoint_grace_timer =
         context.loop.After(std::chrono::duration_cast<Duration>(*grace_period_end - now),
--- a/src/gateway/test_headers.h
+++ b/src/gateway/test_headers.h
@@ -12,7 +12,8 @@
           .expected_endpoint = "x-endpoint",
           .priority = "x-priority",
           .not_executed = "x-not-executed",
-          .rate_limit = "x-limit"};
+          .rate_limit = "x-limit",
+          .leaving = "x-leaving"};
 }
 
 }  // namespace acaciaspring::gateway
