Check callers' keys and keep organisations apart

Cause: the gateway passed the caller's key on to endpoints, served keys that no configuration contained, and went on serving withdrawn keys. Programs, turns and sessions of different organisations shared one namespace.

Change: where the configuration lists organisations, a request needs a key of one of them. The key is replaced by the organisation's name. Where the settings bound the time after a withdrawal, a key is accepted only while the configuration is known to be the newest one; the age counts from before the read was sent, on a clock that also advances while the process is suspended. A daemon without the store asks other daemons. The ids of programs, sessions and turns are prefixed by the organisation.

--- a/include/acaciaspring/base.h
+++ b/include/acaciaspring/base.h
@@ -95,10 +95,14 @@
 /// @brief Identifies one request and its replies between two daemons; unique within the incarnation
 /// of the requesting daemon.
 using ExchangeId = StrongNumber<struct ExchangeIdTag>;
+/// @brief Version of a configuration. A daemon never returns to a lower version.
+using ConfigurationVersion = StrongNumber<struct ConfigurationVersionTag>;
 
 using Duration = std::chrono::microseconds;
 using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+/// @brief Time since the VM booted, which also advances while the process or the VM is suspended.
+using BootTime = std::chrono::time_point<struct BootClock, Duration>;
 
 /// @brief Number of shards into which the programs of a deployment are divided.
 inline constexpr std::uint16_t kShardCount = 4096;
@@ -133,6 +137,10 @@
   kCrashesEndpoints,
   /// All endpoints have said that they leave.
   kEndpointsLeave,
+  /// The newest configuration does not contain the caller's key.
+  kKeyRefused,
+  /// It is not known whether the newest configuration contains the caller's key.
+  kKeyUnconfirmed,
 };
 
 /// @brief Why a call ended with a definite failure after it had started.
--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -12,6 +12,7 @@
 #include "acaciaspring/base.h"
 #include "acaciaspring/ledger.h"
 #include "acaciaspring/net.h"
+#include "acaciaspring/organisations.h"
 #include "acaciaspring/routing.h"
 #include "acaciaspring/telemetry.h"
 
@@ -19,8 +20,7 @@
 
 using RequestId = StrongString<struct RequestIdTag>;
 using SessionId = StrongString<struct SessionIdTag>;
-/// @brief Version of a configuration. A daemon never returns to a lower version.
-using ConfigurationVersion = StrongNumber<struct ConfigurationVersionTag>;
+using acaciaspring::ConfigurationVersion;
 
 /// @brief Whether a request may be sent again after a failure.
 enum class RequestKind : std::uint8_t {
@@ -56,6 +56,8 @@
   bool retained = false;
   /// How long the turns are kept.
   Duration retention = std::chrono::seconds(60);
+  /// Requests need no key, also where the configuration lists organisations.
+  bool open = false;
 };
 
 struct Service {
@@ -77,9 +79,16 @@
   ConfigurationVersion version = {};
   std::vector<Route> routes = {};
   std::vector<Service> services = {};
+  /// If there are none, requests need no keys.
+  std::vector<organisations::Organisation> organisations = {};
   CallerLimits limits = {};
+  /// The text from which the configuration was parsed.
+  std::string document = {};
 };
 
+/// @brief Parses the document of a configuration; throws an Error if it is invalid.
+using ParseConfiguration = std::function<Configuration(const std::string& document)>;
+
 enum class EndpointState : std::uint8_t { kReady, kDraining };
 
 /// @brief An endpoint as listed in the endpoint registry.
@@ -117,7 +126,8 @@
   ledger::OwnerEpoch epoch = {};
 };
 
-/// @brief Program, token budget and chain position of a request.
+/// @brief Program, token budget and chain position of a request. Where requests belong to
+/// organisations, the ids of programs, sessions and turns are prefixed by `id_prefix`.
 struct ProgramContext {
   ProgramId program = {};
   SessionId session = {};
@@ -128,11 +138,13 @@
   TokenCount max_output = {};
   /// Empty for the first turn of a chain.
   ledger::TurnId previous_turn = {};
+  /// Prefix for the id of the turn that this request starts.
+  std::string id_prefix = {};
   template <class Archive>
   void serialize(Archive& archive) {
     bool has_budget = budget.has_value();
     TokenCount tokens = budget.value_or(TokenCount());
-    archive(program, session, has_budget, tokens, max_output, previous_turn);
+    archive(program, session, has_budget, tokens, max_output, previous_turn, id_prefix);
     budget = has_budget ? std::optional<TokenCount>(tokens) : std::nullopt;
   }
 };
@@ -165,6 +177,8 @@
   std::optional<Duration> deadline = {};
   std::optional<ProgramContext> program = {};
   Prompt prompt = {};
+  /// Set by the gateway, where requests need a key.
+  std::optional<organisations::Credential> credential = {};
   /// The connection on which the caller sent it, for the log.
   net::ConnectionId connection = {};
 };
@@ -181,6 +195,10 @@
   std::string rate_limit = {};
   /// Set to 1 by an endpoint that leaves. Between daemons it names the endpoint and its start.
   std::string leaving = {};
+  /// The caller's key; never sent to endpoints where the configuration lists organisations.
+  std::string caller_key = {};
+  /// Names the organisation of a request to its endpoint.
+  std::string organisation = {};
 };
 
 struct GatewayOptions {
@@ -192,6 +210,9 @@
   std::size_t max_response_bytes = std::size_t{8} << 20;
   /// How long callers may use the addresses that the entry point directory returned.
   Duration directory_ttl = std::chrono::seconds(1);
+  organisations::CallerKeysOptions caller_keys = {};
+  /// Parses configurations that other daemons send; none are applied without it.
+  ParseConfiguration parse_configuration = {};
 };
 
 /// @brief Addresses at which callers can reach the cluster, and how long they are valid.
@@ -216,6 +237,9 @@
                    std::function<void(const Member&)> on_member_exited);
   /// @brief Has no effect unless the version is higher than the current one.
   void SetConfiguration(Configuration configuration);
+  /// @brief The current configuration was the newest one at some time after `asked_at`, when the
+  /// request that showed this was sent.
+  void ConfirmConfiguration(BootTime asked_at);
   /// @brief Sets the complete list of registered endpoints. Endpoints that are not listed get no
   /// more requests; after an outage of the registry they are kept for a few seconds.
   void SetEndpoints(const std::vector<RegisteredEndpoint>& endpoints);
--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -89,6 +89,7 @@
   void Stop();
   MonotonicTime Now() const;
   static WallTime WallNow();
+  static BootTime BootNow();
   /// @brief Calls `callback` once after `delay`. Destroying the returned timer cancels the call.
   [[nodiscard]] Timer After(Duration delay, std::function<void()> callback);
   /// @brief Calls `callback` every `period`, for the first time after one period.
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -46,6 +46,10 @@
       return "crashes_endpoints";
     case NotRunReason::kEndpointsLeave:
       return "endpoints_leave";
+    case NotRunReason::kKeyRefused:
+      return "key_refused";
+    case NotRunReason::kKeyUnconfirmed:
+      return "key_unconfirmed";
   }
   return "invalid";
 }
--- a/src/gateway/caller_sink.cc
+++ b/src/gateway/caller_sink.cc
@@ -88,13 +88,18 @@
   ended_ = true;
   const auto total =
       std::chrono::duration_cast<std::chrono::milliseconds>(context_.loop.Now() - arrived_at_);
-  context_.events.Write("request", {{"id", id_.value()},
-                                    {"conn", static_cast<std::int64_t>(connection_.value())},
-                                    {"route", route_},
-                                    {"version", static_cast<std::int64_t>(version_.value())},
-                                    {"status", static_cast<std::int64_t>(status_)},
-                                    {"outcome", outcome},
-                                    {"total_ms", total.count()}});
+  std::vector<telemetry::EventField> fields{
+      {"id", id_.value()},
+      {"conn", static_cast<std::int64_t>(connection_.value())},
+      {"route", route_},
+      {"version", static_cast<std::int64_t>(version_.value())},
+      {"status", static_cast<std::int64_t>(status_)},
+      {"outcome", outcome},
+      {"total_ms", total.count()}};
+  if (!organisation_.empty()) {
+    fields.push_back({"organisation", organisation_.value()});
+  }
+  context_.events.Write("request", fields);
   context_.metrics
       .GetCounter("acaciaspring_requests_total", "Caller requests by outcome",
                   {{"outcome", outcome}})
--- a/src/gateway/caller_sink.h
+++ b/src/gateway/caller_sink.h
@@ -27,6 +27,8 @@
     route_ = route;
     version_ = version;
   }
+  /// @brief Sets the organisation for the log entry of the request.
+  void SetOrganisation(const OrganisationId& organisation) { organisation_ = organisation; }
 
  private:
   void Log(const std::string& outcome);
@@ -38,6 +40,7 @@
   MonotonicTime arrived_at_;
   std::string route_;
   ConfigurationVersion version_;
+  OrganisationId organisation_;
   int status_ = 0;
   bool ended_ = false;
   std::function<void()> on_gone_;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -21,6 +21,7 @@
         client(event_loop, {.pool_capacity = 64, .pool_idle_timeout = std::chrono::seconds(10)}),
         endpoints(gateway_options.self.zone, {.self = gateway_options.self.id}),
         waiting_calls(event_loop),
+        caller_keys(gateway_options.caller_keys),
         random(Hash64(gateway_options.self.id.value(), gateway_options.self.incarnation.value())) {}
 
   net::Loop& loop;
@@ -28,6 +29,7 @@
   net::HttpClient client;
   EndpointTable endpoints;
   WaitingCalls waiting_calls;
+  organisations::CallerKeys caller_keys;
   std::mt19937_64 random;
   /// Secret of the cluster, for the fingerprints of requests.
   std::string fingerprint_key;
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -55,8 +55,25 @@
           .prompt = plan_.prompt};
 }
 
+bool EndpointCall::RefuseIfKeyInvalid() {
+  if (!plan_.credential) {
+    return false;
+  }
+  const auto decision = context_.caller_keys.Check(*plan_.credential, net::Loop::BootNow());
+  return std::visit(Overloaded{[](const organisations::KeyHolds&) { return false; },
+                               [&](const organisations::KeyRefused&) {
+                                 FinishLater(NotRun{.reason = NotRunReason::kKeyRefused});
+                                 return true;
+                               },
+                               [&](const organisations::KeyUnconfirmed&) {
+                                 FinishLater(NotRun{.reason = NotRunReason::kKeyUnconfirmed});
+                                 return true;
+                               }},
+                    decision);
+}
+
 void EndpointCall::Attempt() {
-  if (RefuseIfQuarantined()) {
+  if (RefuseIfQuarantined() || RefuseIfKeyInvalid()) {
     return;
   }
   CountPassedOver();
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -29,6 +29,8 @@
   /// Endpoint that probably has the prompt's prefix cached; may be empty.
   EndpointId preferred = {};
   Prompt prompt = {};
+  /// Absent if the request needs no key.
+  std::optional<organisations::Credential> credential = {};
 };
 
 /// @brief Callbacks of a call. The head and the data come from a single endpoint.
@@ -56,6 +58,8 @@
   void Attempt();
   /// @brief Ends the call if its request has crashed several endpoints.
   bool RefuseIfQuarantined();
+  /// @brief Ends the call if the caller's key may have been withdrawn since the request arrived.
+  bool RefuseIfKeyInvalid();
   /// @brief Tells the crash monitor that the connection of the attempt broke off.
   void ReportInterruption();
   /// @brief Clears the request of suspicion.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -7,7 +7,9 @@
 #include <utility>
 
 #include "src/gateway/caller_sink.h"
+#include "src/gateway/configuration_exchange.h"
 #include "src/gateway/context.h"
+#include "src/gateway/credentials.h"
 #include "src/gateway/endpoint_call.h"
 #include "src/gateway/endpoint_registry.h"
 #include "src/gateway/ownership.h"
@@ -44,6 +46,11 @@
   Impl(net::Loop& loop, GatewayOptions options, ledger::PartitionStore& store)
       : context(loop, options),
         rate_limits(context),
+        configuration_exchange(
+            context,
+            {.links = [this] { return links.get(); },
+             .document = [this] { return configuration ? configuration->document : std::string(); },
+             .apply = [this](Configuration newer) { SetConfiguration(std::move(newer)); }}),
         ownership(context, store, [this] { OnOwnershipChanged(); }),
         router(context, ownership, [this] { return links.get(); }) {}
 
@@ -57,8 +64,15 @@
   /// @brief Reports the load whenever it has changed.
   void ScheduleLoadReport();
   void Handle(CallerRequest request, net::HttpResponderPtr responder);
-  void HandleTurn(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
-  void HandleCall(const Route& route, CallerRequest request, std::shared_ptr<CallerSink> sink);
+  void SetConfiguration(Configuration newer);
+  void HandleTurn(const Route& route,
+                  std::uint32_t priority,
+                  CallerRequest request,
+                  std::shared_ptr<CallerSink> sink);
+  void HandleCall(const Route& route,
+                  std::uint32_t priority,
+                  CallerRequest request,
+                  std::shared_ptr<CallerSink> sink);
   std::optional<HttpError> Validate(const CallerRequest& request, const Route* route) const;
   Duration TimeoutFor(const CallerRequest& request, const Route& route) const;
   /// @brief Applies the endpoints to use at this time.
@@ -69,6 +83,7 @@
 
   Context context;
   RateLimitExchange rate_limits;
+  ConfigurationExchange configuration_exchange;
   std::optional<Configuration> configuration;
   std::unique_ptr<RouteTable> routes;
   std::unordered_map<ServiceId, Service> services;
@@ -122,7 +137,9 @@
               },
           .on_message =
               [this](const DaemonId& daemon, PeerMessage message, const ReplyFunction& reply) {
-                router.OnMessage(daemon, std::move(message), reply);
+                if (!configuration_exchange.OnMessage(message, reply)) {
+                  router.OnMessage(daemon, std::move(message), reply);
+                }
               },
           .on_connected =
               [this](const DaemonId& daemon) {
@@ -148,6 +165,7 @@
   links->SetMembers(members);
   ScheduleHeartbeat();
   ScheduleLoadReport();
+  configuration_exchange.Start();
   context.crashes.SetSend(
       [this](PeerCrashReports reports) { links->SendToAll(std::move(reports)); });
   maintenance = context.loop.Every(kMaintenancePeriod, [this] {
@@ -213,6 +231,28 @@
   return std::nullopt;
 }
 
+void Gateway::Impl::SetConfiguration(Configuration newer) {
+  const bool first = !configuration;
+  if (!first && newer.version <= configuration->version) {
+    return;
+  }
+  context.events.Write(
+      "configuration",
+      {{"version", static_cast<std::int64_t>(newer.version.value())},
+       {"former",
+        first ? std::int64_t{0} : static_cast<std::int64_t>(configuration->version.value())},
+       {"routes", static_cast<std::int64_t>(newer.routes.size())},
+       {"organisations", static_cast<std::int64_t>(newer.organisations.size())}});
+  routes = std::make_unique<RouteTable>(newer.routes);
+  services.clear();
+  for (const Service& service : newer.services) {
+    services[service.id] = service;
+    context.endpoints.SetEngineMemory(service.id, service.kv_capacity);
+  }
+  context.caller_keys.SetOrganisations(newer.version, newer.organisations);
+  configuration = std::move(newer);
+}
+
 Duration Gateway::Impl::TimeoutFor(const CallerRequest& request, const Route& route) const {
   return std::min(request.deadline.value_or(route.timeout), route.timeout);
 }
@@ -229,15 +269,26 @@
     sink->SendError({.status = 503, .reason = "stopping"});
     return;
   }
+  std::uint32_t priority = route->priority;
+  if (context.caller_keys.required()) {
+    if (const auto error = Authorise(context, *route, request, priority)) {
+      sink->SendError(*error);
+      return;
+    }
+    if (request.credential) {
+      sink->SetOrganisation(request.credential->organisation);
+    }
+  }
   const bool is_turn = request.program && (request.program->budget || route->retained);
   if (is_turn) {
-    HandleTurn(*route, std::move(request), std::move(sink));
+    HandleTurn(*route, priority, std::move(request), std::move(sink));
   } else {
-    HandleCall(*route, std::move(request), std::move(sink));
+    HandleCall(*route, priority, std::move(request), std::move(sink));
   }
 }
 
 void Gateway::Impl::HandleTurn(const Route& route,
+                               std::uint32_t priority,
                                CallerRequest request,
                                std::shared_ptr<CallerSink> sink) {
   const ServiceId service = ChooseService(route, request.program->session.value());
@@ -246,7 +297,7 @@
       .id = request.id,
       .service = service,
       .kind = route.kind,
-      .priority = route.priority,
+      .priority = priority,
       .max_attempts = route.max_attempts,
       .retained = route.retained,
       .retention_us = route.retention.count(),
@@ -254,6 +305,7 @@
       .remaining_us = TimeoutFor(request, route).count(),
       .program = *request.program,
       .prompt = request.prompt,
+      .credential = std::move(request.credential),
       .method = std::move(request.method),
       .target = std::move(request.target),
       .headers = std::move(request.headers),
@@ -263,19 +315,21 @@
 }
 
 void Gateway::Impl::HandleCall(const Route& route,
+                               std::uint32_t priority,
                                CallerRequest request,
                                std::shared_ptr<CallerSink> sink) {
   CallPlan plan{.id = request.id,
                 .service = ChooseService(route, request.id.value()),
                 .kind = route.kind,
-                .priority = route.priority,
+                .priority = priority,
                 .max_attempts = route.max_attempts,
                 .method = std::move(request.method),
                 .target = std::move(request.target),
                 .headers = std::move(request.headers),
                 .body = std::move(request.body),
                 .deadline = context.loop.Now() + TimeoutFor(request, route),
-                .prompt = request.prompt};
+                .prompt = request.prompt,
+                .credential = std::move(request.credential)};
   const auto response_started = std::make_shared<bool>(false);
   const auto self = std::make_shared<std::weak_ptr<EndpointCall>>();
   const auto call = std::make_shared<EndpointCall>(
@@ -390,23 +444,11 @@
 }
 
 void Gateway::SetConfiguration(Configuration configuration) {
-  const bool first = !impl_->configuration;
-  if (!first && configuration.version <= impl_->configuration->version) {
-    return;
-  }
-  impl_->context.events.Write(
-      "configuration",
-      {{"version", static_cast<std::int64_t>(configuration.version.value())},
-       {"former",
-        first ? std::int64_t{0} : static_cast<std::int64_t>(impl_->configuration->version.value())},
-       {"routes", static_cast<std::int64_t>(configuration.routes.size())}});
-  impl_->routes = std::make_unique<RouteTable>(configuration.routes);
-  impl_->services.clear();
-  for (const Service& service : configuration.services) {
-    impl_->services[service.id] = service;
-    impl_->context.endpoints.SetEngineMemory(service.id, service.kv_capacity);
-  }
-  impl_->configuration = std::move(configuration);
+  impl_->SetConfiguration(std::move(configuration));
+}
+
+void Gateway::ConfirmConfiguration(BootTime asked_at) {
+  impl_->configuration_exchange.Confirm(asked_at);
 }
 
 void Gateway::SetEndpoints(const std::vector<RegisteredEndpoint>& endpoints) {
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASPRING_SRC_GATEWAY_PEER_MESSAGES_H_
 #define ACACIASPRING_SRC_GATEWAY_PEER_MESSAGES_H_
 
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/utility.hpp>
 #include <cereal/types/vector.hpp>
@@ -91,6 +92,7 @@
   std::int64_t remaining_us = 0;
   ProgramContext program = {};
   Prompt prompt = {};
+  std::optional<organisations::Credential> credential = {};
   std::string method = {};
   std::string target = {};
   net::Headers headers = {};
@@ -98,7 +100,8 @@
   template <class Archive>
   void serialize(Archive& archive) {
     archive(exchange, id, service, kind, priority, max_attempts, retained, retention_us,
-            tokens_per_event, remaining_us, program, prompt, method, target, headers, body);
+            tokens_per_event, remaining_us, program, prompt, credential, method, target, headers,
+            body);
   }
 };
 
@@ -210,6 +213,30 @@
   }
 };
 
+/// @brief Asks another daemon whether the sender's configuration is the newest one.
+struct ConfigurationQuery {
+  ExchangeId exchange = {};
+  /// 0 if the sender has no configuration.
+  ConfigurationVersion version = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, version);
+  }
+};
+
+struct ConfigurationReply {
+  ExchangeId exchange = {};
+  ConfigurationVersion version = {};
+  /// How long before the reply the version was known to be the newest one.
+  std::int64_t age_us = 0;
+  /// Empty if the asking daemon has this version.
+  std::string document = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, version, age_us, document);
+  }
+};
+
 using PeerMessage = std::variant<PeerHello,
                                  PeerStatus,
                                  TurnRequest,
@@ -226,7 +253,9 @@
                                  PeerLoad,
                                  PeerDemand,
                                  PeerRateLimits,
-                                 PeerCrashReports>;
+                                 PeerCrashReports,
+                                 ConfigurationQuery,
+                                 ConfigurationReply>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError if the message is malformed.
--- a/src/gateway/response_sink.cc
+++ b/src/gateway/response_sink.cc
@@ -17,6 +17,9 @@
   return std::visit(
       Overloaded{[&](const Completed&) { return HttpError{.status = 502, .reason = "no_answer"}; },
                  [&](const NotRun& not_run) {
+                   if (not_run.reason == NotRunReason::kKeyRefused) {
+                     return HttpError{.status = 401, .reason = reason};
+                   }
                    return HttpError{
                        .status = 503,
                        .reason = reason,
--- a/src/gateway/test_headers.h
+++ b/src/gateway/test_headers.h
@@ -13,7 +13,9 @@
           .priority = "x-priority",
           .not_executed = "x-not-executed",
           .rate_limit = "x-limit",
-          .leaving = "x-leaving"};
+          .leaving = "x-leaving",
+          .caller_key = "x-key",
+          .organisation = "x-organisation"};
 }
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -246,7 +246,8 @@
                            const ReplyFunction& reply) {
   std::visit(
       Overloaded{[](PeerHello&) {}, [](PeerStatus&) {}, [](PeerLoad&) {}, [](PeerDemand&) {},
-                 [](PeerRateLimits&) {}, [](PeerCrashReports&) {},
+                 [](PeerRateLimits&) {}, [](PeerCrashReports&) {}, [](ConfigurationQuery&) {},
+                 [](ConfigurationReply&) {},
                  [&](TurnRequest& request) { OnTurnRequest(daemon, std::move(request), reply); },
                  [&](TurnHead& head) {
                    if (SubmittedTurn* turn = FindRemote(head.exchange, daemon)) {
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -94,7 +94,8 @@
                 .added_bytes = chain_body_.size(),
                 .deadline = deadline_ - kCallMargin,
                 .preferred = dependencies_.preferred_endpoint(request_.program),
-                .prompt = request_.prompt};
+                .prompt = request_.prompt,
+                .credential = request_.credential};
   chain_body_.clear();
   call_ = std::make_shared<EndpointCall>(
       context_, std::move(plan),
--- a/src/gateway/turn_run_record.cc
+++ b/src/gateway/turn_run_record.cc
@@ -22,7 +22,7 @@
   if (request_.program.budget) {
     record.spend = partition_->ledger().SpendAtEnd(claim_, UsedTokens());
   }
-  record.turn = ledger::Turn{.id = ledger::TurnId(request_.id.value()),
+  record.turn = ledger::Turn{.id = ledger::TurnId(request_.program.id_prefix + request_.id.value()),
                              .previous_turn = request_.program.previous_turn,
                              .input = std::move(request_.body),
                              .output = std::move(output_),
--- a/src/net/loop.cc
+++ b/src/net/loop.cc
@@ -178,6 +178,13 @@
   return std::chrono::time_point_cast<WallTime::duration>(std::chrono::system_clock::now());
 }
 
+BootTime Loop::BootNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return BootTime(std::chrono::duration_cast<Duration>(std::chrono::seconds(now.tv_sec) +
+                                                       std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 Timer Loop::After(Duration delay, std::function<void()> callback) {
   return StartTimer(*this, delay, /*repeats=*/false, std::move(callback));
 }
