Tests of clusters listen on an address of their process

Cause: TestCluster looked for free ports on 127.0.0.1, closed them and listened there later.

Change: the daemons of a cluster listen on an IP address of the process, as those of platform_test do.

--- a/src/gateway/test_cluster.h
+++ b/src/gateway/test_cluster.h
@@ -112,14 +112,9 @@
 
   TestCluster() {
     std::vector<Member> members;
-    std::vector<std::unique_ptr<net::RawServer>> probes;
     for (const char* name : {"owner", "front"}) {
-      // A free port for the daemon.
-      probes.push_back(std::make_unique<net::RawServer>(loop));
-      members.push_back({.id = DaemonId(name), .peer_address = probes.back()->address()});
+      members.push_back({.id = DaemonId(name), .peer_address = net::UnusedAddress()});
     }
-    probes.clear();
-    net::RunUntil(loop, [turns = 0]() mutable { return ++turns > 2; });
     for (std::size_t i = 0; i < members.size(); ++i) {
       daemons.at(i) = std::make_unique<Daemon>(loop, members[i], store);
       daemons.at(i)->gateway.SetMembers(members);
--- a/src/net/test_support.h
+++ b/src/net/test_support.h
@@ -2,6 +2,7 @@
 #define ACACIASPRING_SRC_NET_TEST_SUPPORT_H_
 
 #include <sys/socket.h>
+#include <unistd.h>
 #include <uv.h>
 
 #include <array>
@@ -18,6 +19,20 @@
 
 inline const Address kAnyLoopbackPort{.ip = "127.0.0.1", .port = 0};
 
+/// @brief An IP address that no other run of the tests on this machine uses.
+inline std::string ProcessIp() {
+  constexpr int kNumbers = 250;
+  return "127.78." + std::to_string(getpid() / kNumbers % kNumbers) + "." +
+         std::to_string(1 + getpid() % kNumbers);
+}
+
+/// @brief An address to listen on that is known before its server starts. A port that was free a
+/// moment ago on a shared address may be taken by a connection of another test.
+inline Address UnusedAddress() {
+  static std::uint16_t port = 7000;
+  return {.ip = ProcessIp(), .port = ++port};
+}
+
 /// @brief Runs the loop until the condition is true. If it never is, the test ends by ctest's
 /// timeout.
 inline void RunUntil(Loop& loop, const std::function<bool()>& condition) {
