Test callers' keys and describe their withdrawal

Pure tests of the decision, a test with two daemons of which one has no store, and tests of the manifest and the settings.

--- a/src/gateway/test_cluster.h
+++ b/src/gateway/test_cluster.h
@@ -1,8 +1,10 @@
 #ifndef ACACIASPRING_SRC_GATEWAY_TEST_CLUSTER_H_
 #define ACACIASPRING_SRC_GATEWAY_TEST_CLUSTER_H_
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <memory>
 #include <string>
 #include <vector>
@@ -71,13 +73,9 @@
 /// partitions, so turns that the second one takes are run by the first.
 struct TestCluster {
   struct Daemon {
-    Daemon(net::Loop& loop, const Member& self, ledger::TestStore& store)
-        : member(self),
-          gateway(loop,
-                  {.self = self,
-                   .partition_count = kClusterPartitions,
-                   .headers = MakeTestHeaderNames()},
-                  store),
+    Daemon(net::Loop& loop, const GatewayOptions& options, ledger::TestStore& store)
+        : member(options.self),
+          gateway(loop, options, store),
           server(loop,
                  {.listen = net::kAnyLoopbackPort},
                  [this](net::HttpRequest request, const net::HttpResponderPtr& responder) {
@@ -95,12 +93,18 @@
           .budget = budget.empty() ? std::nullopt : std::optional(TokenCount(std::stoul(budget))),
           .max_output = TokenCount(kClusterMaxOutput),
           .previous_turn = ledger::TurnId(header("x-previous"))};
+      const HeaderNames names = MakeTestHeaderNames();
+      net::Headers forwarded{{"x-id", header("x-id")}};
+      std::copy_if(request.headers.begin(), request.headers.end(), std::back_inserter(forwarded),
+                   [&](const auto& field) {
+                     return field.first == names.caller_key || field.first == names.organisation;
+                   });
       return {.id = RequestId(header("x-id")),
               .host = "h",
               .method = request.method,
               .path = request.path,
               .target = request.path,
-              .headers = {{"x-id", header("x-id")}},
+              .headers = std::move(forwarded),
               .body = std::move(request.body),
               .program = program};
     }
@@ -110,13 +114,17 @@
     net::HttpServer server;
   };
 
-  TestCluster() {
+  /// @brief `options` apply to both daemons, apart from their identity.
+  explicit TestCluster(GatewayOptions options = {}) {
+    options.partition_count = kClusterPartitions;
+    options.headers = MakeTestHeaderNames();
     std::vector<Member> members;
     for (const char* name : {"owner", "front"}) {
       members.push_back({.id = DaemonId(name), .peer_address = net::UnusedAddress()});
     }
     for (std::size_t i = 0; i < members.size(); ++i) {
-      daemons.at(i) = std::make_unique<Daemon>(loop, members[i], store);
+      options.self = members[i];
+      daemons.at(i) = std::make_unique<Daemon>(loop, options, store);
       daemons.at(i)->gateway.SetMembers(members);
       daemons.at(i)->gateway.JoinCluster("key", [](const Member&) {});
     }
