Weight the entry points by the daemons' capacity

All daemons of a zone were named alike, so a daemon with 0.09 of a core got as many callers as one with 0.5. The settings' limits are parsed and travel with the member record, a status carries a correction from the event loop's delay, and a pure module chooses the daemons of an answer. Without limits, or if the processor shares differ by less than a factor of 3, answers are unchanged.

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -113,10 +113,20 @@
   net::Address caller_address = {};
   AvailabilityZone zone = {};
   Incarnation incarnation = {};
+  /// Written only if it is known and read only if bytes remain, so that members without it have the
+  /// form of earlier versions. A member must therefore be the last part of a message.
+  DaemonCapacity capacity = {};
   bool operator==(const Member&) const = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, peer_address, caller_address, zone, incarnation);
+    bool has_capacity = capacity != DaemonCapacity();
+    if constexpr (Archive::is_loading::value) {
+      has_capacity = archive.remaining() > 0;
+    }
+    if (has_capacity) {
+      archive(capacity);
+    }
   }
 };
 
--- a/include/acaciaspring/routing.h
+++ b/include/acaciaspring/routing.h
@@ -510,6 +510,62 @@
   std::optional<MonotonicTime> last_refill_;
 };
 
+/// @brief What a daemon may use, as its settings say. 0 stands for an unknown value.
+struct DaemonCapacity {
+  /// In cores.
+  double processor_share = 0;
+  std::uint64_t memory_bytes = 0;
+  std::uint64_t link_bits_per_second = 0;
+  bool operator==(const DaemonCapacity&) const = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(processor_share, memory_bytes, link_bits_per_second);
+  }
+};
+
+/// @brief Load that a daemon with this capacity can take, in cores: the least of what processor,
+/// link and memory allow. 0 if the processor share is unknown or invalid.
+double LoadCapacity(const DaemonCapacity& capacity);
+
+/// @brief A registered daemon, seen as a possible entry point for callers.
+struct EntryPointCandidate {
+  AvailabilityZone zone = {};
+  bool ready = false;
+  DaemonCapacity capacity = {};
+  /// Factor from 0.1 to 1 that the daemon derives from its own measurements.
+  double correction = 1;
+  /// Time since the correction was received.
+  Duration correction_age = Duration::zero();
+};
+
+struct EntryPointOptions {
+  std::size_t max_addresses = 64;
+  /// Minimum size of an answer while as many daemons are ready.
+  std::size_t min_addresses = 2;
+  /// Older corrections are ignored.
+  Duration max_correction_age = std::chrono::seconds(5);
+  /// Ratio of the processor shares from which on the answers are weighted.
+  double unequal_ratio = 3;
+  /// The daemons of a zone that has lost others may have this multiple of the mean utilisation
+  /// before callers of the zone are sent to other zones.
+  double max_relative_utilisation = 4.0 / 3;
+  /// Least weight of a daemon, relative to the strongest ready one.
+  double min_relative_weight = 0.02;
+};
+
+/// @brief True if the processor shares of the ready daemons differ by the ratio in the options or
+/// more. Daemons whose share is unknown are left out.
+bool UnequalProcessors(std::span<const EntryPointCandidate> candidates,
+                       const EntryPointOptions& options = {});
+
+/// @brief Chooses the daemons that one answer of the entry point directory names, as indexes into
+/// `candidates`. `seed` should differ between answers; it has no effect unless
+/// UnequalProcessors().
+std::vector<std::size_t> SelectEntryPoints(const AvailabilityZone& caller_zone,
+                                           std::span<const EntryPointCandidate> candidates,
+                                           std::uint64_t seed,
+                                           const EntryPointOptions& options = {});
+
 }  // namespace acaciaspring
 
 #endif  // ACACIASPRING_ROUTING_H_
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -12,6 +12,7 @@
 #include "src/gateway/credentials.h"
 #include "src/gateway/endpoint_call.h"
 #include "src/gateway/endpoint_registry.h"
+#include "src/gateway/entry_directory.h"
 #include "src/gateway/ownership.h"
 #include "src/gateway/peer_links.h"
 #include "src/gateway/rate_limit_exchange.h"
@@ -28,9 +29,6 @@
 constexpr Duration kMaintenancePeriod = std::chrono::seconds(5);
 // Time for a few appends; after a longer wait the store is considered unavailable.
 constexpr Duration kHandOverTimeout = std::chrono::milliseconds(400);
-// If fewer daemons are ready in its own zone, a caller also gets those of other zones.
-constexpr std::size_t kMinEntryPointsInZone = 2;
-constexpr std::size_t kMaxEntryPoints = 64;
 
 std::size_t HeaderBytes(const net::Headers& headers) {
   std::size_t bytes = 0;
@@ -51,12 +49,19 @@
             {.links = [this] { return links.get(); },
              .document = [this] { return configuration ? configuration->document : std::string(); },
              .apply = [this](Configuration newer) { SetConfiguration(std::move(newer)); }}),
+        entry_directory(
+            context,
+            {.ready_peers =
+                 [this] { return links ? links->ReadyPeers() : std::vector<ReadyPeer>(); },
+             .self_is_ready = [this] { return links != nullptr && IsReady(); },
+             .members = [this]() -> const std::vector<Member>& { return members; }}),
         ownership(context, store, [this] { OnOwnershipChanged(); }),
         router(context, ownership, [this] { return links.get(); }) {}
 
   void JoinCluster(const std::string& cluster_key,
                    std::function<void(const Member&)> on_member_exited);
   void OnOwnershipChanged();
+  bool IsReady() const { return configuration.has_value() && endpoints_known && !stop_plan; }
   PeerStatus MakeStatus();
   /// @brief Tells all daemons of a change.
   void SendStatus();
@@ -84,6 +89,7 @@
   Context context;
   RateLimitExchange rate_limits;
   ConfigurationExchange configuration_exchange;
+  EntryDirectory entry_directory;
   std::optional<Configuration> configuration;
   std::unique_ptr<RouteTable> routes;
   std::unordered_map<ServiceId, Service> services;
@@ -166,6 +172,7 @@
   ScheduleHeartbeat();
   ScheduleLoadReport();
   configuration_exchange.Start();
+  entry_directory.Start();
   context.crashes.SetSend(
       [this](PeerCrashReports reports) { links->SendToAll(std::move(reports)); });
   maintenance = context.loop.Every(kMaintenancePeriod, [this] {
@@ -201,10 +208,11 @@
 }
 
 PeerStatus Gateway::Impl::MakeStatus() {
-  return {.ready = configuration.has_value() && endpoints_known && !stop_plan,
+  return {.ready = IsReady(),
           .in_flight = context.endpoints.OwnCounts(),
           .owned = ownership.OwnedPartitions(),
-          .has_writable_partition = !ownership.WritablePartitions().empty()};
+          .has_writable_partition = !ownership.WritablePartitions().empty(),
+          .capacity_correction = entry_directory.correction()};
 }
 
 void Gateway::Impl::SendStatus() {
@@ -475,30 +483,11 @@
 }
 
 EntryPoints Gateway::FindEntryPoints(const AvailabilityZone& zone) const {
-  std::vector<Member> ready_members;
-  if (impl_->links != nullptr) {
-    ready_members = impl_->links->ReadyMembers();
-  }
-  if (ready()) {
-    ready_members.push_back(impl_->context.options.self);
-  }
-  std::vector<Member> same_zone;
-  std::copy_if(ready_members.begin(), ready_members.end(), std::back_inserter(same_zone),
-               [&](const Member& member) { return member.zone == zone; });
-  const std::vector<Member>& chosen =
-      same_zone.size() >= kMinEntryPointsInZone ? same_zone : ready_members;
-  EntryPoints entry_points{.ttl = impl_->context.options.directory_ttl};
-  for (const Member& member : chosen) {
-    if (entry_points.addresses.size() < kMaxEntryPoints) {
-      entry_points.addresses.push_back(member.caller_address);
-    }
-  }
-  return entry_points;
+  return impl_->entry_directory.Find(zone);
 }
 
 bool Gateway::ready() const {
-  return impl_->configuration.has_value() && impl_->endpoints_known && impl_->links != nullptr &&
-         !impl_->stop_plan;
+  return impl_->links != nullptr && impl_->IsReady();
 }
 
 const CallerLimits& Gateway::limits() const {
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -84,7 +84,9 @@
     last_statuses_[id] = {.member = *incoming->member,
                           .ready = status->ready,
                           .has_writable_partition = status->has_writable_partition,
-                          .received_at = context_.loop.Now()};
+                          .capacity_correction = status->capacity_correction,
+                          .received_at = context_.loop.Now(),
+                          .status_received_at = context_.loop.Now()};
     handlers_.on_status(id, *status);
     return;
   }
@@ -293,13 +295,15 @@
   return member.zone == context_.options.self.zone ? periods_.same_zone : periods_.other_zone;
 }
 
-std::vector<Member> PeerLinks::ReadyMembers() const {
-  std::vector<Member> ready;
+std::vector<ReadyPeer> PeerLinks::ReadyPeers() const {
+  std::vector<ReadyPeer> ready;
   const MonotonicTime now = context_.loop.Now();
   for (const auto& [id, last_status] : last_statuses_) {
     if (last_status.ready &&
         now - last_status.received_at <= PeriodFor(last_status.member) * kMissedHeartbeats) {
-      ready.push_back(last_status.member);
+      ready.push_back({.member = last_status.member,
+                       .capacity_correction = last_status.capacity_correction,
+                       .correction_age = now - last_status.status_received_at});
     }
   }
   return ready;
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -19,6 +19,13 @@
 /// is closed.
 using ReplyFunction = std::function<void(const PeerMessage&)>;
 
+/// @brief A daemon that is ready, and the correction of its capacity with its age.
+struct ReadyPeer {
+  Member member = {};
+  double capacity_correction = 1;
+  Duration correction_age = {};
+};
+
 struct PeerHandlers {
   std::function<void(const DaemonId&, const PeerStatus&)> on_status = {};
   std::function<void(const DaemonId&, const PeerLoad&)> on_load = {};
@@ -64,7 +71,7 @@
   /// @brief Time until a heartbeat is due to some daemon.
   Duration HeartbeatPeriod() const { return periods_.same_zone; }
   /// @brief Daemons whose last status is recent and reports them as ready.
-  std::vector<Member> ReadyMembers() const;
+  std::vector<ReadyPeer> ReadyPeers() const;
   /// @brief Daemons that have a writable partition, as of their last status.
   std::vector<DaemonId> WritablePeers() const;
   /// @brief Daemons with an open connection.
@@ -92,7 +99,10 @@
     Member member;
     bool ready = false;
     bool has_writable_partition = false;
+    double capacity_correction = 1;
+    /// When the last status or load was received.
     MonotonicTime received_at;
+    MonotonicTime status_received_at;
   };
 
   Duration PeriodFor(const Member& member) const;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -43,9 +43,11 @@
   std::vector<OwnedPartition> owned = {};
   /// The sender serves a partition that currently accepts records.
   bool has_writable_partition = false;
+  /// Factor from 0.1 to 1 by which the sender's measurements reduce its capacity.
+  double capacity_correction = 1;
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(ready, in_flight, owned, has_writable_partition);
+    archive(ready, in_flight, owned, has_writable_partition, capacity_correction);
   }
 };
 
