--- a/src/gateway/capacity_correction.h
+++ b/src/gateway/capacity_correction.h
@@ -28,8 +28,8 @@
   /// The changes become slower by half whenever the direction changes, down to this factor.
   double min_pace = 1.0 / 8;
   /// Times in which the pace doubles during a rise or a fall.
-  Duration rise_acceleration = std::chrono::seconds(120);
-  Duration fall_acceleration = std::chrono::seconds(30);
+  Duration rise_acceleration = std::chrono::seconds(60);
+  Duration fall_acceleration = std::chrono::seconds(8);
   double min = 0.1;
 };
 
--- a/src/routing/entry_selection.cc
+++ b/src/routing/entry_selection.cc
@@ -155,9 +155,27 @@
   // Corrections do not take part in the choice of zones: they depend on the load, and load that
   // moves between zones would move back as soon as they recover.
   const double in_zone = ShareInZone(zone, all, options);
+  // If many daemons are overloaded, the others have little to spare. Only corrections below the
+  // mean of the daemons among which the callers are distributed therefore count.
+  const auto is_local = [&](std::size_t i) {
+    return in_zone == 0 || candidates[i].zone == caller_zone;
+  };
+  double corrected[] = {0, 0};
+  double nominal[] = {0, 0};
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].ready) {
+      corrected[is_local(i)] += weights[i] * UsableCorrection(candidates[i], options);
+      nominal[is_local(i)] += weights[i];
+    }
+  }
   double largest = 0;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    weights[i] = candidates[i].ready ? weights[i] * UsableCorrection(candidates[i], options) : 0;
+    if (candidates[i].ready) {
+      const double mean = corrected[is_local(i)] / nominal[is_local(i)];
+      weights[i] *= std::min(1.0, UsableCorrection(candidates[i], options) / mean);
+    } else {
+      weights[i] = 0;
+    }
     largest = std::max(largest, weights[i]);
   }
   double zone_sum = 0;
