--- a/src/gateway/entry_directory.cc
+++ b/src/gateway/entry_directory.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // Bounds the log while daemons start and stop in quick succession.
-constexpr Duration kLogPeriod = std::chrono::seconds(1);
+constexpr Duration kWeightingPeriod = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -28,12 +28,13 @@
 }
 
 void EntryDirectory::Start() {
-  measure_timer_ = context_.loop.Every(CapacityCorrectionOptions().period, [this] {
-    correction_.OnTimer(context_.loop.Now());
-    correction_gauge_.Set(correction_.value());
-    delay_gauge_.Set(std::chrono::duration<double>(correction_.delay()).count());
-  });
-  log_timer_ = context_.loop.Every(kLogPeriod, [this] { LogWeighting(); });
+  weighting_timer_ = context_.loop.Every(kWeightingPeriod, [this] { UpdateWeighting(); });
+}
+
+void EntryDirectory::Measure() {
+  correction_.OnTimer(context_.loop.Now());
+  correction_gauge_.Set(correction_.value());
+  delay_gauge_.Set(std::chrono::duration<double>(correction_.delay()).count());
 }
 
 EntryDirectory::Candidates EntryDirectory::MakeCandidates() const {
@@ -77,16 +78,17 @@
   return entry_points;
 }
 
-bool EntryDirectory::UnequalProcessors() const {
-  return acaciaspring::UnequalProcessors(MakeCandidates().daemons);
-}
-
-void EntryDirectory::LogWeighting() {
+void EntryDirectory::UpdateWeighting() {
   const Candidates candidates = MakeCandidates();
-  const bool weighted = acaciaspring::UnequalProcessors(candidates.daemons);
+  const bool weighted = UnequalProcessors(candidates.daemons);
   if (std::exchange(weighted_, weighted) == weighted) {
     return;
   }
+  correction_ = CapacityCorrection();
+  measure_timer_ = {};
+  if (weighted) {
+    measure_timer_ = context_.loop.Every(CapacityCorrectionOptions().period, [this] { Measure(); });
+  }
   std::int64_t ready = 0;
   for (const EntryPointCandidate& candidate : candidates.daemons) {
     ready += candidate.ready ? 1 : 0;
--- a/src/gateway/entry_directory.h
+++ b/src/gateway/entry_directory.h
@@ -25,11 +25,13 @@
   EntryDirectory(Context& context, EntryDirectoryHandlers handlers);
   EntryDirectory(const EntryDirectory&) = delete;
   EntryDirectory& operator=(const EntryDirectory&) = delete;
-  /// @brief Starts the measurements.
+  /// @brief Starts to follow the capacities of the daemons. The event loop's delay is measured only
+  /// while answers are weighted.
   void Start();
   EntryPoints Find(const AvailabilityZone& caller_zone);
-  /// @brief True if the processor shares of the ready daemons differ by a factor of 3 or more.
-  bool UnequalProcessors() const;
+  /// @brief True if the processor shares of the ready daemons differ by a factor of 3 or more, as
+  /// of the last second.
+  bool weighted() const { return weighted_; }
   double correction() const { return correction_.value(); }
 
  private:
@@ -38,8 +40,9 @@
     std::vector<net::Address> addresses = {};
   };
   Candidates MakeCandidates() const;
-  /// @brief Logs whether answers are weighted by capacity, if that has changed.
-  void LogWeighting();
+  /// @brief Finds out whether answers are weighted by capacity, and logs a change.
+  void UpdateWeighting();
+  void Measure();
 
   Context& context_;
   EntryDirectoryHandlers handlers_;
@@ -49,7 +52,7 @@
   telemetry::Gauge& correction_gauge_;
   telemetry::Gauge& delay_gauge_;
   net::Timer measure_timer_;
-  net::Timer log_timer_;
+  net::Timer weighting_timer_;
 };
 
 }  // namespace acaciaspring::gateway
