Limit the requests of organisations over all daemons together

Cause: an organisation's request limit applies to all daemons together, without a store call per request, and has to hold while daemons are cut off from each other, restart or are added.

Change: each daemon owns an equal share of each limit and leases it to a grantor, which pools the shares and grants permits on demand. The decisions are pure modules in src/organisations; the gateway exchanges PeerPermitRequest and PeerPermitGrant and takes a permit before each attempt at an endpoint.

--- a/include/acaciaspring/base.h
+++ b/include/acaciaspring/base.h
@@ -141,6 +141,10 @@
   kKeyRefused,
   /// It is not known whether the newest configuration contains the caller's key.
   kKeyUnconfirmed,
+  /// The organisation has sent as many requests as its limit allows.
+  kOrganisationLimited,
+  /// No daemon could tell whether the organisation's limit allows the request.
+  kLimitUnknown,
 };
 
 /// @brief Why a call ended with a definite failure after it had started.
--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -211,6 +211,8 @@
   /// How long callers may use the addresses that the entry point directory returned.
   Duration directory_ttl = std::chrono::seconds(1);
   organisations::CallerKeysOptions caller_keys = {};
+  /// The limits of organisations do not apply without it.
+  std::optional<organisations::LimitTolerance> limit_tolerance = {};
   /// Parses configurations that other daemons send; none are applied without it.
   ParseConfiguration parse_configuration = {};
 };
--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -206,6 +206,9 @@
   /// record in this partition.
   std::vector<Turn> UnrecordedInChain(const TurnId& turn) const;
 
+  /// @brief True if turns of the program have spent tokens or are in flight.
+  bool HasStarted(const ProgramId& program) const;
+
   std::size_t turn_count() const { return turns_.size(); }
   std::size_t program_count() const { return programs_.size(); }
 
--- a/src/base/outcome.cc
+++ b/src/base/outcome.cc
@@ -50,6 +50,10 @@
       return "key_refused";
     case NotRunReason::kKeyUnconfirmed:
       return "key_unconfirmed";
+    case NotRunReason::kOrganisationLimited:
+      return "organisation_limited";
+    case NotRunReason::kLimitUnknown:
+      return "limit_unknown";
   }
   return "invalid";
 }
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -8,6 +8,7 @@
 #include "acaciaspring/telemetry.h"
 #include "src/gateway/crash_monitor.h"
 #include "src/gateway/endpoint_table.h"
+#include "src/gateway/permit_exchange.h"
 #include "src/gateway/waiting_calls.h"
 
 namespace acaciaspring::gateway {
@@ -36,6 +37,7 @@
   telemetry::EventLog events;
   telemetry::Registry metrics;
   CrashMonitor crashes{loop, events, metrics};
+  PermitExchange permits{loop, events, metrics, options};
 };
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -73,7 +73,7 @@
 }
 
 void EndpointCall::Attempt() {
-  if (RefuseIfQuarantined() || RefuseIfKeyInvalid()) {
+  if (RefuseIfQuarantined() || RefuseIfKeyInvalid() || !HasOrganisationPermit()) {
     return;
   }
   CountPassedOver();
@@ -113,6 +113,7 @@
     return false;
   }
   StopWaiting();
+  attempt_permit_ = std::exchange(permit_, std::nullopt);
   endpoint_ = endpoint->id;
   endpoint_started_at_ms_ = endpoint->started_at_ms;
   endpoint_address_ = endpoint->address;
@@ -253,6 +254,7 @@
                    }
                  },
                  [&](const net::HttpNotSent&) {
+                   KeepPermit();
                    EndAttempt(AttemptResult::kFailed);
                    RetryOrFinish(NotRun{.reason = NotRunReason::kEndpointUnavailable});
                  },
@@ -288,6 +290,7 @@
 }
 
 void EndpointCall::OnRejected() {
+  KeepPermit();
   // With status 421, a different endpoint responds at the address of the chosen one.
   EndAttempt(status_ == 421 ? AttemptResult::kFailed : AttemptResult::kRejected);
   RetryOrFinish(NotRun{.reason = NotRunReason::kOverloaded});
@@ -349,7 +352,9 @@
   }
   if (in_flight_) {
     http_call_->Cancel();
-    if (!rejected_) {
+    if (rejected_) {
+      KeepPermit();
+    } else {
       ++possible_runs_;
     }
     EndAttempt(rejected_ ? AttemptResult::kRejected : AttemptResult::kFailed);
@@ -378,6 +383,10 @@
 
 void EndpointCall::EndAttempt(AttemptResult result) {
   in_flight_ = false;
+  if (attempt_permit_) {
+    context_.permits.CountUsed(attempt_permit_->organisation);
+    attempt_permit_.reset();
+  }
   if (result == AttemptResult::kRejected || result == AttemptResult::kFailed) {
     LogAttempt(result);
   }
@@ -392,6 +401,7 @@
   }
   done_ = true;
   StopWaiting();
+  ReleasePermit();
   deadline_timer_.Cancel();
   attempt_timer_.Cancel();
   const CallCallbacks callbacks = std::exchange(callbacks_, {});
@@ -404,6 +414,10 @@
   }
   done_ = true;
   StopWaiting();
+  if (in_flight_ && rejected_) {
+    KeepPermit();
+  }
+  ReleasePermit();
   deadline_timer_.Cancel();
   attempt_timer_.Cancel();
   if (http_call_ != nullptr) {
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -31,6 +31,8 @@
   Prompt prompt = {};
   /// Absent if the request needs no key.
   std::optional<organisations::Credential> credential = {};
+  /// The request continues a program that has used permits of its organisation.
+  bool program_started = false;
 };
 
 /// @brief Callbacks of a call. The head and the data come from a single endpoint.
@@ -60,6 +62,16 @@
   bool RefuseIfQuarantined();
   /// @brief Ends the call if the caller's key may have been withdrawn since the request arrived.
   bool RefuseIfKeyInvalid();
+  /// @brief Takes a permit of the caller's organisation for the next attempt. Returns false if the
+  /// call waits for it or ends without it.
+  bool HasOrganisationPermit();
+  void OnPermitDecision(const organisations::PermitDecision& decision);
+  /// @brief Makes the attempt wait again if the organisation's permit is no longer valid.
+  bool RestartIfPermitExpired();
+  /// @brief Keeps the permit of an attempt that was not executed for the next one.
+  void KeepPermit();
+  /// @brief Ends the wait for a permit and returns the one that was not used.
+  void ReleasePermit();
   /// @brief Tells the crash monitor that the connection of the attempt broke off.
   void ReportInterruption();
   /// @brief Clears the request of suspicion.
@@ -123,6 +135,11 @@
   net::Timer attempt_timer_;
   /// Set while the call waits for a permit.
   std::optional<PermitQueue::Ticket> ticket_;
+  /// Set while the call waits for a permit of its organisation.
+  std::optional<organisations::PermitTicket> permit_ticket_;
+  /// Permit for the next attempt, and that of the current or last one.
+  std::optional<organisations::Permit> permit_;
+  std::optional<organisations::Permit> attempt_permit_;
   /// Attempts that an endpoint may have executed.
   std::uint32_t possible_runs_ = 0;
   /// All attempts, executed or not.
--- a/src/gateway/endpoint_call_limits.cc
+++ b/src/gateway/endpoint_call_limits.cc
@@ -11,7 +11,7 @@
   ticket_ = context_.waiting_calls.Add(plan_.service, plan_.priority, [weak = weak_from_this()] {
     const auto self = weak.lock();
     return self == nullptr || self->RefuseIfQuarantined() || self->RefuseIfKeyInvalid() ||
-           self->TryAttempt() || self->RefuseIfAllLeave();
+           self->RestartIfPermitExpired() || self->TryAttempt() || self->RefuseIfAllLeave();
   });
   attempt_timer_ =
       context_.loop.After(std::chrono::duration_cast<Duration>(wait.until - now), [this] {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -116,6 +116,7 @@
           .on_status =
               [this](const DaemonId& daemon, const PeerStatus& status) {
                 rate_limits.OnHeard(daemon);
+                context.permits.OnHeard(daemon);
                 context.endpoints.SetRemoteCounts(daemon, status.in_flight);
                 ownership.OnStatus(daemon, status);
                 router.RetryWaitingTurns();
@@ -123,6 +124,7 @@
           .on_load =
               [this](const DaemonId& daemon, const PeerLoad& load) {
                 rate_limits.OnHeard(daemon);
+                context.permits.OnHeard(daemon);
                 context.endpoints.SetRemoteCounts(daemon, load.in_flight);
               },
           .on_demand = [this](const DaemonId& daemon,
@@ -137,12 +139,15 @@
               },
           .on_message =
               [this](const DaemonId& daemon, PeerMessage message, const ReplyFunction& reply) {
-                if (!configuration_exchange.OnMessage(message, reply)) {
+                if (!configuration_exchange.OnMessage(message, reply) &&
+                    !context.permits.OnMessage(daemon, message)) {
                   router.OnMessage(daemon, std::move(message), reply);
                 }
               },
           .on_connected =
               [this](const DaemonId& daemon) {
+                // Before the status, which would prolong leases that have ended.
+                context.permits.OnConnected(daemon);
                 links->Send(daemon, MakeStatus());
                 rate_limits.Greet(
                     [&](const PeerMessage& message) { links->Send(daemon, message); });
@@ -159,9 +164,19 @@
                 ownership.ForgetDaemon(daemon);
                 router.OnPeerDisconnected(daemon);
               },
-          .on_exited = std::move(on_member_exited),
+          .on_exited =
+              [this, on_member_exited = std::move(on_member_exited)](const Member& member) {
+                context.permits.OnExited(member);
+                on_member_exited(member);
+              },
           .on_requester_disconnected =
               [this](const DaemonId& daemon) { router.OnRequesterDisconnected(daemon); }});
+  context.permits.Join(
+      {.send = [this](const DaemonId& daemon,
+                      const PeerMessage& message) { return links->Send(daemon, message); },
+       .ready_members = [this] { return links->ReadyMembers(); },
+       .self_ready = [this] { return MakeStatus().ready; },
+       .longest_period = [this] { return links->LongestPeriod(); }});
   links->SetMembers(members);
   ScheduleHeartbeat();
   ScheduleLoadReport();
@@ -249,6 +264,7 @@
     services[service.id] = service;
     context.endpoints.SetEngineMemory(service.id, service.kv_capacity);
   }
+  context.permits.SetOrganisations(newer.organisations);
   context.caller_keys.SetOrganisations(newer.version, newer.organisations);
   configuration = std::move(newer);
 }
@@ -329,7 +345,8 @@
                 .body = std::move(request.body),
                 .deadline = context.loop.Now() + TimeoutFor(request, route),
                 .prompt = request.prompt,
-                .credential = std::move(request.credential)};
+                .credential = std::move(request.credential),
+                .program_started = request.program.has_value()};
   const auto response_started = std::make_shared<bool>(false);
   const auto self = std::make_shared<std::weak_ptr<EndpointCall>>();
   const auto call = std::make_shared<EndpointCall>(
@@ -460,6 +477,7 @@
 void Gateway::SetMembers(std::vector<Member> members) {
   impl_->members = std::move(members);
   impl_->rate_limits.SetMembers(impl_->members);
+  impl_->context.permits.SetMembers(impl_->members);
   if (impl_->links != nullptr) {
     impl_->links->SetMembers(impl_->members);
   }
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -1,6 +1,7 @@
 #ifndef ACACIASPRING_SRC_GATEWAY_PEER_LINKS_H_
 #define ACACIASPRING_SRC_GATEWAY_PEER_LINKS_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -63,6 +64,8 @@
   Duration LoadPeriod() const { return periods_.load; }
   /// @brief Time until a heartbeat is due to some daemon.
   Duration HeartbeatPeriod() const { return periods_.same_zone; }
+  /// @brief Longest time between two messages to a daemon.
+  Duration LongestPeriod() const { return std::max(periods_.same_zone, periods_.other_zone); }
   /// @brief Daemons whose last status is recent and reports them as ready.
   std::vector<Member> ReadyMembers() const;
   /// @brief Daemons that have a writable partition, as of their last status.
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -237,6 +237,9 @@
   }
 };
 
+using PeerPermitRequest = organisations::PermitRequest;
+using PeerPermitGrant = organisations::PermitGrant;
+
 using PeerMessage = std::variant<PeerHello,
                                  PeerStatus,
                                  TurnRequest,
@@ -255,7 +258,9 @@
                                  PeerRateLimits,
                                  PeerCrashReports,
                                  ConfigurationQuery,
-                                 ConfigurationReply>;
+                                 ConfigurationReply,
+                                 PeerPermitRequest,
+                                 PeerPermitGrant>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError if the message is malformed.
--- a/src/gateway/response_sink.cc
+++ b/src/gateway/response_sink.cc
@@ -20,8 +20,9 @@
                    if (not_run.reason == NotRunReason::kKeyRefused) {
                      return HttpError{.status = 401, .reason = reason};
                    }
+                   const bool limited = not_run.reason == NotRunReason::kOrganisationLimited;
                    return HttpError{
-                       .status = 503,
+                       .status = limited ? 429 : 503,
                        .reason = reason,
                        .retry_after = std::max<Duration>(
                            kRetryAfter, std::chrono::milliseconds(not_run.retry_after_ms))};
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -245,9 +245,16 @@
                            PeerMessage message,
                            const ReplyFunction& reply) {
   std::visit(
-      Overloaded{[](PeerHello&) {}, [](PeerStatus&) {}, [](PeerLoad&) {}, [](PeerDemand&) {},
-                 [](PeerRateLimits&) {}, [](PeerCrashReports&) {}, [](ConfigurationQuery&) {},
+      Overloaded{[](PeerHello&) {},
+                 [](PeerStatus&) {},
+                 [](PeerLoad&) {},
+                 [](PeerDemand&) {},
+                 [](PeerRateLimits&) {},
+                 [](PeerCrashReports&) {},
+                 [](ConfigurationQuery&) {},
                  [](ConfigurationReply&) {},
+                 [](PeerPermitRequest&) {},
+                 [](PeerPermitGrant&) {},
                  [&](TurnRequest& request) { OnTurnRequest(daemon, std::move(request), reply); },
                  [&](TurnHead& head) {
                    if (SubmittedTurn* turn = FindRemote(head.exchange, daemon)) {
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -95,7 +95,8 @@
                 .deadline = deadline_ - kCallMargin,
                 .preferred = dependencies_.preferred_endpoint(request_.program),
                 .prompt = request_.prompt,
-                .credential = request_.credential};
+                .credential = request_.credential,
+                .program_started = program_started_};
   chain_body_.clear();
   call_ = std::make_shared<EndpointCall>(
       context_, std::move(plan),
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -138,6 +138,8 @@
   TokenCount covered_before_loss_;
   bool response_started_ = false;
   bool ended_ = false;
+  /// The program has run turns before this one.
+  bool program_started_ = false;
 };
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/turn_run_budget.cc
+++ b/src/gateway/turn_run_budget.cc
@@ -17,6 +17,8 @@
     FailWith({.status = 503, .reason = "owner_changed", .retry_after = kOwnerRetryAfter});
     return;
   }
+  program_started_ = !request_.program.previous_turn.empty() ||
+                     partition_->ledger().HasStarted(request_.program.program);
   if (!request_.program.budget) {
     admitted_ = true;
     reserved_ = true;
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -73,6 +73,11 @@
   return SpendNeedsRecord{spend};
 }
 
+bool ProgramLedger::HasStarted(const ProgramId& program) const {
+  const auto found = programs_.find(program);
+  return found != programs_.end() && found->second.spent + found->second.in_flight > TokenCount();
+}
+
 Admission ProgramLedger::Admit(const TurnDemand& demand, MonotonicTime now) {
   Program& program = programs_[demand.program];
   program.last_active = now;
