--- a/src/gateway/test_cluster.h
+++ b/src/gateway/test_cluster.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <charconv>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,12 +72,16 @@
 /// partitions, so turns that the second one takes are run by the first.
 struct TestCluster {
   struct Daemon {
-    Daemon(net::Loop& loop, const Member& self, ledger::TestStore& store)
+    Daemon(net::Loop& loop,
+           const Member& self,
+           ledger::TestStore& store,
+           const std::optional<organisations::LimitTolerance>& tolerance)
         : member(self),
           gateway(loop,
                   {.self = self,
                    .partition_count = kClusterPartitions,
-                   .headers = MakeTestHeaderNames()},
+                   .headers = MakeTestHeaderNames(),
+                   .limit_tolerance = tolerance},
                   store),
           server(loop,
                  {.listen = net::kAnyLoopbackPort},
@@ -95,12 +100,16 @@
           .budget = budget.empty() ? std::nullopt : std::optional(TokenCount(std::stoul(budget))),
           .max_output = TokenCount(kClusterMaxOutput),
           .previous_turn = ledger::TurnId(header("x-previous"))};
+      net::Headers forwarded{{"x-id", header("x-id")}};
+      if (!header("x-key").empty()) {
+        forwarded.emplace_back("x-key", header("x-key"));
+      }
       return {.id = RequestId(header("x-id")),
               .host = "h",
               .method = request.method,
               .path = request.path,
               .target = request.path,
-              .headers = {{"x-id", header("x-id")}},
+              .headers = std::move(forwarded),
               .body = std::move(request.body),
               .program = program};
     }
@@ -110,7 +119,8 @@
     net::HttpServer server;
   };
 
-  TestCluster() {
+  /// @brief The limits of organisations apply if there is a tolerance.
+  explicit TestCluster(const std::optional<organisations::LimitTolerance>& tolerance = {}) {
     std::vector<Member> members;
     std::vector<std::unique_ptr<net::RawServer>> probes;
     for (const char* name : {"owner", "front"}) {
@@ -121,7 +131,7 @@
     probes.clear();
     net::RunUntil(loop, [turns = 0]() mutable { return ++turns > 2; });
     for (std::size_t i = 0; i < members.size(); ++i) {
-      daemons.at(i) = std::make_unique<Daemon>(loop, members[i], store);
+      daemons.at(i) = std::make_unique<Daemon>(loop, members[i], store, tolerance);
       daemons.at(i)->gateway.SetMembers(members);
       daemons.at(i)->gateway.JoinCluster("key", [](const Member&) {});
     }
--- a/src/organisations/permit_holder.cc
+++ b/src/organisations/permit_holder.cc
@@ -117,7 +117,7 @@
 
 PermitDenied PermitHolder::Deny(Entry& entry, const Queue& queue, BootTime now) {
   entry.refused.Add(1, now);
-  const Duration expected = std::max(Duration(0), queue.expected_at - now) + queue.interval;
+  const Duration expected = std::max(Duration(0), queue.expected_at - now);
   // The refused requests of the last second would need this long for their permits.
   const auto backlog = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(entry.refused.count / entry.limit.per_second));
@@ -196,7 +196,7 @@
   const BootTime until =
       now + std::clamp(std::chrono::duration_cast<Duration>(deadline - now) / kWaitDivisor,
                        Duration(0), max_wait_);
-  if (now - entry.answered_at < kAnswerAge && queue.expected_at + queue.interval > until) {
+  if (now - entry.answered_at < kAnswerAge && queue.expected_at > until) {
     return Deny(entry, queue, now);
   }
   if (queue.expected_at > now) {
@@ -273,14 +273,19 @@
 }
 
 void PermitHolder::RefuseLate(Entry& entry, Queue& queue, Duration wait, BootTime now) {
-  const auto count = static_cast<std::int64_t>(queue.waiting.size());
-  queue.interval = wait / std::max<std::int64_t>(1, count);
   queue.expected_at = now + wait;
+  if (queue.waiting.empty()) {
+    queue.interval = std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(1 / entry.limit.per_second));
+    return;
+  }
+  queue.interval = wait / static_cast<std::int64_t>(queue.waiting.size());
   while (!queue.waiting.empty() && queue.expected_at > queue.waiting.back().until) {
     Decide(queue.waiting.back().ticket, Deny(entry, queue, now));
     queue.waiting.pop_back();
     queue.expected_at -= queue.interval;
   }
+  queue.expected_at += queue.interval;
 }
 
 void PermitHolder::OnAnswer(const DaemonId& grantor,
--- a/src/organisations/permit_holder.h
+++ b/src/organisations/permit_holder.h
@@ -75,7 +75,7 @@
   /// Requests of one use.
   struct Queue {
     std::deque<Waiting> waiting;
-    /// When the last of the waiting requests, or a new one, is expected to have its permit.
+    /// When a new request is expected to get its permit.
     BootTime expected_at;
     Duration interval{};
   };
