--- a/src/gateway/test_cluster.h
+++ b/src/gateway/test_cluster.h
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <iterator>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
