Test the parts of request limits and measure their decisions

Cause: trials with deliberate faults (no detection of a suspension, shares by the last count of daemons, no request for leases after a new organisation, no reserve) passed the tests so far.

--- a/src/gateway/organisation_limit_test.cc
+++ b/src/gateway/organisation_limit_test.cc
@@ -94,6 +94,7 @@
 BOOST_AUTO_TEST_CASE(flood_at_two_daemons_is_limited) {
   SetLimit(1, 20, 20);
   Wait(std::chrono::seconds(1));
+  const MonotonicTime start = cluster.loop.Now();
   std::vector<std::unique_ptr<net::RawConnection>> connections;
   for (int round = 0; round < 20; ++round) {
     for (int i = 0; i < 10; ++i) {
@@ -117,9 +118,10 @@
     }
   }
   BOOST_TEST(statuses[200] + statuses[429] == connections.size());
-  // Two seconds and up to half a second in which requests wait.
+  const double seconds = std::chrono::duration<double>(cluster.loop.Now() - start).count();
   BOOST_TEST(statuses[200] >= 50U);
-  BOOST_TEST(statuses[200] <= 76U);
+  // The burst, the rate and the permits of the start.
+  BOOST_TEST(static_cast<double>(statuses[200]) <= 20 + 20 * seconds + 5);
 }
 
 // Guards against permits that are lost although the endpoint did not execute the request.
@@ -141,7 +143,7 @@
   Wait(std::chrono::seconds(1));
   BOOST_TEST(Get(0, "first").status == 200);
   const auto waiting = Send(0, "second");
-  Wait(std::chrono::milliseconds(100));
+  Wait(std::chrono::milliseconds(30));
   BOOST_TEST(!TestCluster::IsOver(*waiting));
   SetLimit(2, 2.5, 1, /*with_key=*/false);
   cluster.Until([&] { return TestCluster::IsOver(*waiting); });
--- a/src/main/decision_bench.cc
+++ b/src/main/decision_bench.cc
@@ -1,9 +1,11 @@
 #include <benchmark/benchmark.h>
 
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
 
+#include "acaciaspring/organisations.h"
 #include "acaciaspring/routing.h"
 #include "acaciaspring/scheduling.h"
 #include "src/gateway/crash_evidence.h"
@@ -245,6 +247,66 @@
 }
 BENCHMARK(ChoosePausedStream)->Arg(16)->Arg(64)->Arg(256)->Complexity();
 
+/// @brief The limits of a daemon that grants the permits of all organisations itself.
+std::unique_ptr<organisations::RequestLimits> LimitsOfAll(BootTime now) {
+  auto limits = std::make_unique<organisations::RequestLimits>(
+      organisations::RequestLimitsOptions{.self = DaemonId("self")});
+  std::vector<organisations::Organisation> all;
+  for (std::uint64_t i = 0; i < kOrganisations; ++i) {
+    all.push_back({.id = OrganisationId("organisation-" + std::to_string(i)),
+                   .limit = organisations::RequestLimit{.per_second = 30, .burst = 60}});
+  }
+  limits->SetOrganisations(all, now);
+  limits->SetMembers({DaemonId("self")}, now);
+  limits->SetReady({}, true, std::chrono::milliseconds(200));
+  limits->Step(now);
+  return limits;
+}
+
+// Time to take a permit, or to refuse it, at a daemon that is the grantor itself. About half of the
+// requests exceed the limits.
+void TakePermit(benchmark::State& state) {
+  BootTime now(std::chrono::seconds(100));
+  const auto limits = LimitsOfAll(now);
+  std::vector<OrganisationId> ids;
+  for (std::uint64_t i = 0; i < kOrganisations; ++i) {
+    ids.emplace_back("organisation-" + std::to_string(i));
+  }
+  std::uint64_t next = 0;
+  for ([[maybe_unused]] auto unused : state) {
+    now += std::chrono::microseconds(50);
+    auto decision = limits->Acquire(ids[next % kOrganisations], organisations::PermitUse::kOther,
+                                    now + std::chrono::seconds(2), now);
+    benchmark::DoNotOptimize(decision);
+    if (++next % 100 == 0) {
+      limits->Step(now);
+    }
+  }
+}
+BENCHMARK(TakePermit);
+
+// Time of a grantor to answer one request for permits, by the number of daemons that send them.
+void GrantPermits(benchmark::State& state) {
+  BootTime now(std::chrono::seconds(100));
+  const auto limits = LimitsOfAll(now);
+  const auto daemons = static_cast<std::uint64_t>(state.range(0));
+  std::uint64_t next = 0;
+  for ([[maybe_unused]] auto unused : state) {
+    now += std::chrono::microseconds(50);
+    const DaemonId holder("daemon-" + std::to_string(next % daemons));
+    organisations::PermitRequest request{.session = 1, .to_session = 1, .sent_us = 1};
+    request.wants.push_back(
+        {.organisation = OrganisationId("organisation-" + std::to_string(next / daemons % 4)),
+         .other = 2});
+    limits->OnRequest(holder, request, now);
+    if (++next % 100 == 0) {
+      auto output = limits->Step(now);
+      benchmark::DoNotOptimize(output);
+    }
+  }
+}
+BENCHMARK(GrantPermits)->Arg(31)->Arg(420);
+
 }  // namespace
 }  // namespace acaciaspring
 
--- a/src/organisations/request_limits_failure_test.cc
+++ b/src/organisations/request_limits_failure_test.cc
@@ -61,6 +61,28 @@
   BOOST_TEST(cluster.counts[kCalm].unanswered + cluster.counts[kCalm].denied == 0U);
 }
 
+// Guards against a suspended grantor that believes the heartbeats that waited in its sockets, and
+// grants from shares that are leased to another one in the meantime.
+BOOST_AUTO_TEST_CASE(suspended_grantor_grants_nothing_from_its_former_leases) {
+  const std::size_t grantor = GrantorOf(kCalm);
+  cluster.loads.clear();
+  cluster.Run(seconds(5));
+  cluster.daemons[grantor].frozen = true;
+  cluster.Run(seconds(3));
+  RequestLimits& limits = *cluster.daemons[grantor].limits;
+  for (const std::size_t index : cluster.AllDaemons()) {
+    limits.OnHeard(TestLimitCluster::Id(index), cluster.now);
+  }
+  std::size_t permits = 0;
+  for (int i = 0; i < 100; ++i) {
+    permits += std::holds_alternative<Permit>(
+                   limits.Acquire(kCalm, PermitUse::kOther, cluster.now + seconds(2), cluster.now))
+                   ? 1
+                   : 0;
+  }
+  BOOST_TEST(permits == 0U);
+}
+
 // Guards against shares that are used twice while daemons end, start and stop to run in any order.
 BOOST_AUTO_TEST_CASE(bound_holds_while_daemons_end_start_and_freeze) {
   for (int event = 0; event < 120; ++event) {
--- a/src/organisations/request_limits_load_test.cc
+++ b/src/organisations/request_limits_load_test.cc
@@ -204,8 +204,14 @@
   TestLimitCluster cluster({Limited(kCalm, 50, 50)});
   cluster.StartAll(8);
   cluster.Run(seconds(3));
-  for (auto& daemon : cluster.daemons) {
-    daemon.limits->SetOrganisations({Limited(kCalm, 50, 50), Limited(kHot, 50, 50)}, cluster.now);
+  std::vector<DaemonId> ids;
+  for (const std::size_t index : cluster.AllDaemons()) {
+    ids.push_back(TestLimitCluster::Id(index));
+  }
+  const std::size_t grantor = std::stoul(ChooseGrantor(kHot, ids).value().substr(1));
+  for (std::size_t i = 1; i <= 8; ++i) {
+    cluster.daemons[(grantor + i) % 8].limits->SetOrganisations(
+        {Limited(kCalm, 50, 50), Limited(kHot, 50, 50)}, cluster.now);
     cluster.Run(milliseconds(100));
   }
   cluster.organisations.push_back(Limited(kHot, 50, 50));
