Serve a part of the tolerance of request limits, and start programs as the limit can carry them

Change: grantors apply the limit and half of its tolerance; permits in stock are valid for 3 % of the window in place of 8 %. While permits are scarce, a program starts only if the limit can carry its expected requests, which are measured. Requests of started programs wait for up to half of their time and 1.5 s.

--- a/include/acaciaspring/organisations.h
+++ b/include/acaciaspring/organisations.h
@@ -116,6 +116,10 @@
   double slack = 20;
 };
 
+/// @brief The limit that grantors apply: the organisation's limit and a part of the tolerance, so
+/// that callers at their limit are not refused for a short burst.
+RequestLimit EnforcedLimit(const RequestLimit& limit, const LimitTolerance& tolerance);
+
 /// @brief Whether a request continues a program. Interrupting a program wastes the permits that it
 /// has used, so its requests get permits first.
 enum class PermitUse : std::uint8_t { kStartedProgram, kOther };
--- a/src/organisations/permit_grantor.cc
+++ b/src/organisations/permit_grantor.cc
@@ -165,7 +165,7 @@
     wanted_.erase(want.organisation);
     const std::uint32_t spare = std::min(remaining(want.spare), WholePermits(entry.pool.Spare()));
     Holder& asker = FindHolder(entry, holder, want.received);
-    entry.pool.Take(PermitUse::kOther, spare);
+    entry.pool.TakeSpare(spare);
     asker.new_permits += spare;
   } else {
     wanted_.insert(want.organisation);
--- a/src/organisations/permit_holder.cc
+++ b/src/organisations/permit_holder.cc
@@ -1,17 +1,26 @@
 #include "src/organisations/permit_holder.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace acaciaspring::organisations {
 
 namespace {
 
-// A request waits for its permit for at most this part of its remaining time.
-constexpr int kWaitDivisor = 4;
-// The time by which the use of a permit is delayed counts against the tolerance: requests wait for
-// half a second at most, and permits are kept in stock for a little less.
-constexpr double kStockPartOfWait = 0.8;
+// How long a request may wait for its permit.
+struct MaxWait {
+  /// Part of its remaining time.
+  int divisor;
+  Duration limit;
+};
+// A program that is refused in the middle loses more time than its caller would have waited.
+constexpr std::array<MaxWait, 2> kMaxWaits = {
+    {{2, std::chrono::milliseconds(1500)}, {4, std::chrono::milliseconds(500)}}};
+// Another grantor may take a second to take over, so the caller had better try again.
+constexpr Duration kMaxUnansweredWait = std::chrono::milliseconds(500);
+// The time by which the use of a permit is delayed counts against the tolerance of the limit.
+constexpr double kStockPartOfWindow = 0.03;
 // Below ten requests per second, a stock would mostly expire unused.
 constexpr double kMinSteadyDemand = 10;
 constexpr double kStockSeconds = 0.15;
@@ -33,8 +42,7 @@
 
 PermitHolder::PermitHolder(DaemonId self, const LimitTolerance& tolerance)
     : self_(std::move(self)),
-      max_wait_(std::chrono::duration_cast<Duration>(tolerance.window * tolerance.over)),
-      stock_validity_(std::chrono::duration_cast<Duration>(max_wait_ * kStockPartOfWait)),
+      stock_validity_(std::chrono::duration_cast<Duration>(tolerance.window * kStockPartOfWindow)),
       random_(Hash64(self_.value())) {}
 
 void PermitHolder::Recent::Add(double events, BootTime now) {
@@ -193,9 +201,10 @@
       return *permit;
     }
   }
+  const MaxWait& max_wait = kMaxWaits.at(Index(use));
   const BootTime until =
-      now + std::clamp(std::chrono::duration_cast<Duration>(deadline - now) / kWaitDivisor,
-                       Duration(0), max_wait_);
+      now + std::clamp(std::chrono::duration_cast<Duration>(deadline - now) / max_wait.divisor,
+                       Duration(0), max_wait.limit);
   if (now - entry.answered_at < kAnswerAge && queue.expected_at > until) {
     return Deny(entry, queue, now);
   }
@@ -322,10 +331,13 @@
     for (Queue& queue : entry.queues) {
       const std::size_t before = queue.waiting.size();
       std::erase_if(queue.waiting, [&](const Waiting& waiting) {
-        if (waiting.until > now) {
+        const bool answered = entry.answered_at > waiting.since;
+        const BootTime until =
+            answered ? waiting.until : std::min(waiting.until, waiting.since + kMaxUnansweredWait);
+        if (until > now) {
           return false;
         }
-        if (entry.answered_at > waiting.since) {
+        if (answered) {
           Decide(waiting.ticket, Deny(entry, queue, now));
         } else {
           Decide(waiting.ticket, PermitUnanswered{});
--- a/src/organisations/permit_holder.h
+++ b/src/organisations/permit_holder.h
@@ -107,7 +107,6 @@
   void GiveBack(const OrganisationId& organisation, Entry& entry, const Stock& stock);
 
   DaemonId self_;
-  Duration max_wait_;
   Duration stock_validity_;
   std::unordered_map<OrganisationId, Entry> entries_;
   std::unordered_map<PermitTicket, std::pair<OrganisationId, PermitUse>> tickets_;
--- a/src/organisations/permit_pool.cc
+++ b/src/organisations/permit_pool.cc
@@ -15,8 +15,16 @@
 // Requests of started programs that arrive within this time find a permit.
 constexpr double kReserveSeconds = 0.2;
 constexpr double kRecentSeconds = 1;
+// Time constant for the size of programs; long enough for dozens of them.
+constexpr double kMeasuredSeconds = 10;
+// Programs need their permits over some seconds, so more may start at once than the bucket covers.
+constexpr double kUncommittedSeconds = 1;
+// Below this part of the capacity, programs start only as fast as the limit can carry them.
+constexpr double kScarcePart = 0.5;
 // Until the leases of all daemons have arrived, waits are estimated for the whole limit.
 constexpr Duration kLeasesArrive = std::chrono::milliseconds(1200);
+// A grantor that takes over has to see some programs before it can tell what they need.
+constexpr Duration kMeasuringTime = std::chrono::seconds(3);
 constexpr Duration kMaxWait = std::chrono::seconds(10);
 
 double Seconds(Duration duration) {
@@ -36,8 +44,26 @@
   }
   const double seconds = Seconds(now - updated_);
   updated_ = now;
-  level_ = std::min(Capacity(), level_ + limit_.per_second * fraction_ * seconds);
+  const double accrued = limit_.per_second * fraction_ * seconds;
+  level_ = std::min(Capacity(), level_ + accrued);
+  uncommitted_ = std::min(MaxUncommitted(), uncommitted_ + accrued);
   recent_started_ *= std::exp(-seconds / kRecentSeconds);
+  const double kept = std::exp(-seconds / kMeasuredSeconds);
+  measured_started_ *= kept;
+  measured_other_ *= kept;
+}
+
+double PermitPool::MaxUncommitted() const {
+  return Capacity() + limit_.per_second * fraction_ * kUncommittedSeconds;
+}
+
+double PermitPool::RequestsPerStart() const {
+  return 1 + measured_started_ / std::max(1.0, measured_other_);
+}
+
+bool PermitPool::IsCommitted() const {
+  return updated_ - fraction_changed_ > kMeasuringTime && uncommitted_ <= 0 &&
+         level_ < Capacity() * kScarcePart;
 }
 
 void PermitPool::SetLimit(RequestLimit limit, BootTime now) {
@@ -65,6 +91,7 @@
   fraction_ = fraction;
   fraction_changed_ = now;
   level_ = fraction_ == 0 ? 0 : std::min(level_ + added, Capacity());
+  uncommitted_ = std::min(uncommitted_ + added, MaxUncommitted());
 }
 
 double PermitPool::Reserve() const {
@@ -73,7 +100,10 @@
 }
 
 double PermitPool::Available(PermitUse use) const {
-  return use == PermitUse::kStartedProgram ? level_ : level_ - Reserve();
+  if (use == PermitUse::kStartedProgram) {
+    return level_;
+  }
+  return IsCommitted() ? std::min(0.0, level_ - Reserve()) : level_ - Reserve();
 }
 
 double PermitPool::Spare() const {
@@ -84,7 +114,11 @@
   level_ -= permits;
   if (use == PermitUse::kStartedProgram) {
     recent_started_ += permits;
+    measured_started_ += permits;
+    return;
   }
+  measured_other_ += permits;
+  uncommitted_ = std::max(-MaxUncommitted(), uncommitted_ - permits * RequestsPerStart());
 }
 
 void PermitPool::Return(std::uint32_t permits) {
@@ -92,7 +126,10 @@
 }
 
 Duration PermitPool::TimeUntil(PermitUse use, double wanted, BootTime now) const {
-  const double missing = wanted - Available(use);
+  double missing = wanted - Available(use);
+  if (use == PermitUse::kOther && IsCommitted()) {
+    missing = std::max(missing, wanted - 1 - uncommitted_);
+  }
   if (missing <= 0) {
     return Duration(0);
   }
--- a/src/organisations/permit_pool.h
+++ b/src/organisations/permit_pool.h
@@ -20,6 +20,7 @@
   /// @brief Permits available for holders' stocks.
   double Spare() const;
   void Take(PermitUse use, std::uint32_t permits);
+  void TakeSpare(std::uint32_t permits) { level_ -= permits; }
   void Return(std::uint32_t permits);
   /// @brief Time until `wanted` permits are available for the use.
   Duration TimeUntil(PermitUse use, double wanted, BootTime now) const;
@@ -28,6 +29,11 @@
  private:
   double Capacity() const;
   double Reserve() const;
+  /// @brief Starting one more program would take permits from those that have started.
+  bool IsCommitted() const;
+  double MaxUncommitted() const;
+  /// @brief Requests of a program, its first one included, by recent grants.
+  double RequestsPerStart() const;
 
   RequestLimit limit_;
   LimitTolerance tolerance_;
@@ -36,6 +42,11 @@
   BootTime updated_;
   /// Decaying number of permits for started programs; about those of the last second.
   double recent_started_ = 0;
+  /// Decaying numbers of permits by use, for the size of programs.
+  double measured_started_ = 0;
+  double measured_other_ = 0;
+  /// Permits that accrue and that no started program is expected to need.
+  double uncommitted_ = 0;
   /// Permits granted on start in the window that began at `start_window_`.
   double start_permits_ = 0;
   BootTime start_window_;
--- a/src/organisations/request_limits.cc
+++ b/src/organisations/request_limits.cc
@@ -11,6 +11,9 @@
 
 namespace {
 
+// The rest of the tolerance covers permits that are used late, and grantors that take over.
+constexpr double kServedPartOfTolerance = 0.5;
+
 // A lease outlasts two heartbeats of which one is late.
 constexpr int kHeartbeatsPerLease = 3;
 constexpr Duration kMaintenancePeriod = std::chrono::milliseconds(50);
@@ -236,12 +239,18 @@
 
 RequestLimits::~RequestLimits() = default;
 
+RequestLimit EnforcedLimit(const RequestLimit& limit, const LimitTolerance& tolerance) {
+  const double factor = 1 + tolerance.over * kServedPartOfTolerance;
+  return {.per_second = limit.per_second * factor,
+          .burst = limit.burst * factor + tolerance.slack * kServedPartOfTolerance};
+}
+
 void RequestLimits::SetOrganisations(const std::vector<Organisation>& organisations, BootTime now) {
   std::unordered_map<OrganisationId, RequestLimit> limits;
   std::set<OrganisationId> limited;
   for (const Organisation& organisation : organisations) {
     if (organisation.limit) {
-      limits[organisation.id] = *organisation.limit;
+      limits[organisation.id] = EnforcedLimit(*organisation.limit, impl_->options.tolerance);
       limited.insert(organisation.id);
     }
   }
