Apply request limits exactly in the test with two daemons

The test counts single permits; with the default tolerance a part of it is served too. Now the tolerance of the test is 0, so each expectation is as before. One limit is 0.6 per second in place of 0.01, because a new grantor then has no permits to start with.

--- a/src/gateway/organisation_limit_test.cc
+++ b/src/gateway/organisation_limit_test.cc
@@ -79,7 +79,9 @@
     return static_cast<std::size_t>(std::count(executed.begin(), executed.end(), id));
   }
 
-  TestCluster cluster{GatewayOptions{.limit_tolerance = organisations::LimitTolerance{}}};
+  /// Without a tolerance the limit is applied exactly.
+  TestCluster cluster{
+      GatewayOptions{.limit_tolerance = organisations::LimitTolerance{.over = 0, .slack = 0}}};
   int rejections = 0;
   std::vector<std::string> executed;
   net::HttpServer endpoint;
@@ -126,8 +128,8 @@
 
 // Guards against permits that are lost although the endpoint did not execute the request.
 BOOST_AUTO_TEST_CASE(permit_of_a_rejected_request_is_returned) {
-  SetLimit(1, 0.01, 1);
-  Wait(std::chrono::seconds(1));
+  SetLimit(1, 0.6, 1);
+  Wait(std::chrono::seconds(2));
   rejections = 10;
   BOOST_TEST(Get(0, "rejected").status == 503);
   rejections = 0;
