Keep responses for callers that read slowly past the idle timeout

The server took a send in flight for stalled when it was not finished within the idle timeout, however much of it the client had read meanwhile. And h2o closed an idle connection although its last response was still in the socket; the client's next request then met a closed socket, and the reset destroyed the rest of the response.

A send now counts as stalled when the client has acknowledged nothing more for the idle timeout.

--- a/src/net/http_responder.cc
+++ b/src/net/http_responder.cc
@@ -8,12 +8,17 @@
 
 #include "src/net/http_message.h"
 #include "src/net/pipelined_input.h"
+#include "src/net/socket_state.h"
 
 namespace acaciaspring::net {
 
-H2oResponder::H2oResponder(Loop& loop, h2o_req_t* request, std::shared_ptr<const bool> keep_alive)
+H2oResponder::H2oResponder(Loop& loop,
+                           h2o_req_t* request,
+                           const uv_stream_t* stream,
+                           std::shared_ptr<const bool> keep_alive)
     : loop_(loop),
       request_(request),
+      stream_(stream),
       keep_alive_(std::move(keep_alive)),
       generator_{.base = {.proceed =
                               [](h2o_generator_t* self, h2o_req_t*) {
@@ -70,6 +75,11 @@
   return pending_.size();
 }
 
+std::size_t H2oResponder::UnacknowledgedBytes() const {
+  return uv_stream_get_write_queue_size(stream_) +
+         ReadSocketState(FileDescriptor()).undelivered_bytes;
+}
+
 bool H2oResponder::closed() const {
   return ended_ || connection_lost_ || request_ == nullptr;
 }
@@ -109,7 +119,8 @@
   sending_ = std::exchange(pending_, {});
   in_flight_ = true;
   final_sent_ = ended_;
-  send_started_ = loop_.Now();
+  progress_at_ = loop_.Now();
+  unacknowledged_at_progress_ = SIZE_MAX;
   h2o_iovec_t buffer = ToIovec(sending_);
   h2o_send(request_, &buffer, sending_.empty() ? 0 : 1,
            ended_ ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
@@ -118,7 +129,8 @@
 void H2oResponder::OnProceed() {
   const auto self = shared_from_this();
   in_flight_ = false;
-  sending_.clear();
+  // Releases the memory, which clear() would keep until the end of the response.
+  sending_ = std::string();
   Flush();
 }
 
@@ -150,7 +162,15 @@
     return;
   }
   if (in_flight_) {
-    if (loop_.Now() - send_started_ > io_timeout) {
+    const std::size_t unacknowledged = UnacknowledgedBytes();
+    if (unacknowledged < unacknowledged_at_progress_) {
+      // The first check of a send sets the size to compare with; it is not progress.
+      if (unacknowledged_at_progress_ != SIZE_MAX) {
+        progress_at_ = loop_.Now();
+      }
+      unacknowledged_at_progress_ = unacknowledged;
+    }
+    if (loop_.Now() - progress_at_ > io_timeout) {
       // Makes the pending write fail, after which h2o disposes of the request.
       stalled_ = true;
       Disconnect();
--- a/src/net/http_responder.h
+++ b/src/net/http_responder.h
@@ -1,6 +1,8 @@
 #ifndef ACACIASPRING_SRC_NET_HTTP_RESPONDER_H_
 #define ACACIASPRING_SRC_NET_HTTP_RESPONDER_H_
 
+#include <uv.h>
+
 #include <functional>
 #include <memory>
 #include <string>
@@ -14,8 +16,12 @@
 /// clears its pointer when h2o disposes of the request, so it may outlive the request.
 class H2oResponder : public HttpResponder, public std::enable_shared_from_this<H2oResponder> {
  public:
-  /// @brief `keep_alive` tells when the head is sent whether the connection may stay open.
-  H2oResponder(Loop& loop, h2o_req_t* request, std::shared_ptr<const bool> keep_alive);
+  /// @brief `stream` is the connection of the request. `keep_alive` tells when the head is sent
+  /// whether the connection may stay open.
+  H2oResponder(Loop& loop,
+               h2o_req_t* request,
+               const uv_stream_t* stream,
+               std::shared_ptr<const bool> keep_alive);
 
   void Start(int status, const Headers& headers) override;
   void Write(std::string_view data) override;
@@ -28,7 +34,7 @@
 
   /// @brief Called when h2o disposes of the request.
   void OnDisposed();
-  /// @brief Closes the connection if the client has closed it or has not read for `io_timeout`.
+  /// @brief Closes the connection if the client has closed it or has read nothing for `io_timeout`.
   /// h2o cannot detect a close itself, because it does not read from a connection while a request
   /// is being processed.
   void CheckConnection(Duration io_timeout);
@@ -52,9 +58,13 @@
   /// @brief Ends the connection so that the response cannot be taken for a complete one.
   void Disconnect();
   int FileDescriptor() const;
+  /// @brief Bytes handed to h2o that the client has not acknowledged.
+  std::size_t UnacknowledgedBytes() const;
 
   Loop& loop_;
+  /// Null after h2o has disposed of the request; `stream_` is valid until then.
   h2o_req_t* request_;
+  const uv_stream_t* stream_;
   std::shared_ptr<const bool> keep_alive_;
   Generator generator_;
   std::function<void()> on_closed_;
@@ -62,7 +72,9 @@
   std::string pending_;
   /// Bytes handed to h2o, which accesses them until it asks for more.
   std::string sending_;
-  MonotonicTime send_started_;
+  /// Start of the send in flight, or the last time when the client had acknowledged more of it.
+  MonotonicTime progress_at_;
+  std::size_t unacknowledged_at_progress_ = 0;
   bool head_only_ = false;
   bool started_ = false;
   bool ended_ = false;
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,7 +1,10 @@
+#include <fcntl.h>
 #include <glog/logging.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -60,8 +63,12 @@
   struct Connection {
     std::shared_ptr<ServerState> server;
     h2o_socket_t* socket;
+    const uv_stream_t* stream;
     ConnectionId id;
     std::uint64_t requests = 0;
+    /// Duplicate of the descriptor, -1 for none. It keeps an undelivered response when h2o closes
+    /// the idle connection.
+    int kept_descriptor = -1;
   };
   struct RequestLink {
     std::shared_ptr<ServerState> server;
@@ -78,6 +85,9 @@
   static HttpRequest ToHttpRequest(const h2o_req_t& request);
   static Connection& ConnectionOf(const h2o_req_t& request);
   void CheckOpenRequests();
+  void CheckDeliveries();
+  /// @brief Ends the watch over the delivery of the connection's last response.
+  void StopWatching(Connection& connection);
   void DisposeIfUnused();
 
   Loop& loop_;
@@ -91,6 +101,8 @@
   std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
   std::uint64_t next_connection_ = 0;
   std::unordered_map<const h2o_req_t*, std::shared_ptr<H2oResponder>> responders_;
+  /// Idle connections whose client may not have received all of the last response.
+  std::unordered_set<Connection*> delivering_;
   LingeringSockets lingering_;
   Timer check_timer_;
   /// Shared with the responders, which decide when they send the head.
@@ -113,7 +125,10 @@
     throw;
   }
   Configure();
-  check_timer_ = loop_.Every(kRequestCheckPeriod, [this] { CheckOpenRequests(); });
+  check_timer_ = loop_.Every(kRequestCheckPeriod, [this] {
+    CheckOpenRequests();
+    CheckDeliveries();
+  });
 }
 
 void ServerState::Configure() {
@@ -158,11 +173,14 @@
     return;
   }
   uv_tcp_nodelay(stream.get(), 1);
-  h2o_socket_t* socket =
-      h2o_uv_socket_create(reinterpret_cast<uv_stream_t*>(stream.release()),
-                           [](uv_handle_t* closed) { delete reinterpret_cast<uv_tcp_t*>(closed); });
-  auto connection = std::make_unique<Connection>(Connection{
-      .server = shared_from_this(), .socket = socket, .id = ConnectionId(next_connection_++)});
+  auto* const raw_stream = reinterpret_cast<uv_stream_t*>(stream.release());
+  h2o_socket_t* socket = h2o_uv_socket_create(
+      raw_stream, [](uv_handle_t* closed) { delete reinterpret_cast<uv_tcp_t*>(closed); });
+  auto connection =
+      std::make_unique<Connection>(Connection{.server = shared_from_this(),
+                                              .socket = socket,
+                                              .stream = raw_stream,
+                                              .id = ConnectionId(next_connection_++)});
   socket->on_close.data = connection.get();
   socket->on_close.cb = [](void* data) {
     auto* closed = static_cast<Connection*>(data);
@@ -174,6 +192,15 @@
 }
 
 void ServerState::OnConnectionClosed(Connection* connection) {
+  if (!closing_ && connection->kept_descriptor >= 0) {
+    const SocketState state = ReadSocketState(connection->kept_descriptor);
+    if (state.undelivered_bytes > 0 && !state.failed) {
+      lingering_.Add(connection->kept_descriptor, {.connection = connection->id,
+                                                   .requests = connection->requests,
+                                                   .wait = {.max_stall = options_.io_timeout}});
+    }
+  }
+  StopWatching(*connection);
   connections_.erase(connection);
   DisposeIfUnused();
 }
@@ -200,7 +227,9 @@
 }
 
 int ServerState::OnRequest(h2o_req_t* request) {
-  auto responder = std::make_shared<H2oResponder>(loop_, request, keep_alive_);
+  Connection& connection = ConnectionOf(*request);
+  StopWatching(connection);
+  auto responder = std::make_shared<H2oResponder>(loop_, request, connection.stream, keep_alive_);
   void* memory = h2o_mem_alloc_shared(&request->pool, sizeof(RequestLink), [](void* data) {
     auto* link = static_cast<RequestLink*>(data);
     link->server->OnRequestDisposed(*link->request);
@@ -208,7 +237,7 @@
   });
   new (memory) RequestLink{.server = shared_from_this(), .request = request};
   responders_.emplace(request, responder);
-  ++ConnectionOf(*request).requests;
+  ++connection.requests;
   if (closing_) {
     responder->AbortWithoutCallback();
     return 0;
@@ -235,6 +264,8 @@
   responder->OnDisposed();
   if (is_complete && request.http1_is_persistent == 0) {
     Linger(request, /*discard_input=*/false);
+  } else if (is_complete) {
+    delivering_.insert(&ConnectionOf(request));
   }
 }
 
@@ -282,6 +313,27 @@
   }
 }
 
+void ServerState::CheckDeliveries() {
+  // The idle timeout is several times the period of this check, so that most connections have
+  // delivered their response by then and need no second descriptor.
+  const std::vector<Connection*> delivering(delivering_.begin(), delivering_.end());
+  for (Connection* connection : delivering) {
+    const int fd = h2o_socket_get_fd(connection->socket);
+    if (ReadSocketState(fd).undelivered_bytes == 0) {
+      StopWatching(*connection);
+    } else if (connection->kept_descriptor < 0) {
+      connection->kept_descriptor = fcntl(fd, F_DUPFD_CLOEXEC, 0);
+    }
+  }
+}
+
+void ServerState::StopWatching(Connection& connection) {
+  delivering_.erase(&connection);
+  if (const int kept = std::exchange(connection.kept_descriptor, -1); kept >= 0) {
+    close(kept);
+  }
+}
+
 void ServerState::SetLimits(std::size_t max_body_bytes, Duration io_timeout) {
   options_.max_body_bytes = max_body_bytes;
   options_.io_timeout = io_timeout;
