Limit the memory for callers that read slowly

Until now only the bytes of one connection were limited (4 MB), so many slow callers could use up the daemon's memory.

BufferBudget counts the bytes of responses by caller and in total, with those of requests, chains and messages to other daemons. Above a quarter of the memory new requests get 503 memory_limited with Retry-After; above half of it the connections whose buffers would take longest to drain are closed as caller_too_slow. A complete response is kept while its caller acknowledges something. BufferMonitor feeds it, closes the connections and reports.

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -211,6 +211,9 @@
   /// How long callers may use the addresses that the entry point directory returned.
   Duration directory_ttl = std::chrono::seconds(1);
   organisations::CallerKeysOptions caller_keys = {};
+  /// Memory of the daemon, of which bytes buffered for slow callers may take a part. Without it,
+  /// only the bytes of each connection are limited.
+  std::optional<std::size_t> memory_bytes = {};
   /// Parses configurations that other daemons send; none are applied without it.
   ParseConfiguration parse_configuration = {};
 };
--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -149,6 +149,14 @@
   virtual void Respond(int status, const Headers& headers, std::string_view body) = 0;
   /// @brief Bytes accepted by Write and not yet handed to the socket.
   virtual std::size_t pending_bytes() const = 0;
+  /// @brief Bytes of the response in the memory of the process: pending ones and those that the
+  /// socket has not accepted yet.
+  virtual std::size_t buffered_bytes() const = 0;
+  /// @brief Bytes that the client has acknowledged, approximately; never decreases.
+  virtual std::uint64_t delivered_bytes() = 0;
+  /// @brief Closes the connection and drops what the client has not received, also after the end of
+  /// the response. The OnClosed callback is not called.
+  virtual void Discard() = 0;
   /// @brief True when the response is finished or the client's connection is closed.
   virtual bool closed() const = 0;
   /// @brief Sets a callback that runs once, from the loop, if the connection is lost before the
--- a/src/gateway/caller_sink.cc
+++ b/src/gateway/caller_sink.cc
@@ -27,6 +27,8 @@
       id_(request.id),
       connection_(request.connection),
       responder_(std::move(responder)),
+      buffer_(context.buffers.NewId()),
+      held_(context.buffers, request.body.size()),
       arrived_at_(context.loop.Now()) {}
 
 void CallerSink::Head(int status, const net::Headers& headers) {
@@ -40,16 +42,30 @@
   }
   responder_->Write(data);
   if (responder_->pending_bytes() > kMaxPendingBytes) {
-    Abort("caller_too_slow");
-    if (on_gone_) {
-      // Posted, because this is called by the request that the callback cancels.
-      context_.loop.Post(on_gone_);
-    }
+    CloseSlow();
+  } else if (context_.buffers.enabled()) {
+    context_.buffers.OnWritten(buffer_, responder_, [weak = weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->CloseSlow();
+      }
+    });
+  }
+}
+
+void CallerSink::CloseSlow() {
+  if (ended_) {
+    return;
+  }
+  Abort("caller_too_slow");
+  if (on_gone_) {
+    // Posted, because this may be called by the request that the callback cancels.
+    context_.loop.Post(on_gone_);
   }
 }
 
 void CallerSink::End() {
   responder_->End();
+  context_.buffers.OnEnded(buffer_, responder_);
   Log("answered");
 }
 
@@ -68,6 +84,7 @@
     headers.emplace_back("retry-after", FormatSeconds(error.retry_after));
   }
   responder_->Respond(error.status, headers, error.reason + "\n");
+  context_.buffers.OnEnded(buffer_, responder_);
   Log("refused:" + error.reason);
 }
 
--- a/src/gateway/caller_sink.h
+++ b/src/gateway/caller_sink.h
@@ -2,6 +2,7 @@
 #define ACACIASPRING_SRC_GATEWAY_CALLER_SINK_H_
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "src/gateway/context.h"
@@ -10,7 +11,7 @@
 namespace acaciaspring::gateway {
 
 /// @brief Writes the response to the caller's connection and logs the outcome of the request.
-class CallerSink : public ResponseSink {
+class CallerSink : public ResponseSink, public std::enable_shared_from_this<CallerSink> {
  public:
   CallerSink(Context& context, const CallerRequest& request, net::HttpResponderPtr responder);
 
@@ -31,12 +32,17 @@
   void SetOrganisation(const OrganisationId& organisation) { organisation_ = organisation; }
 
  private:
+  /// @brief Ends a response that its caller reads too slowly.
+  void CloseSlow();
   void Log(const std::string& outcome);
 
   Context& context_;
   RequestId id_;
   net::ConnectionId connection_;
   net::HttpResponderPtr responder_;
+  BufferId buffer_;
+  /// The request's body, which the connection keeps until the response is complete.
+  HeldBytes held_;
   MonotonicTime arrived_at_;
   std::string route_;
   ConfigurationVersion version_;
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -6,6 +6,7 @@
 
 #include "acaciaspring/gateway.h"
 #include "acaciaspring/telemetry.h"
+#include "src/gateway/buffer_monitor.h"
 #include "src/gateway/crash_monitor.h"
 #include "src/gateway/endpoint_table.h"
 #include "src/gateway/waiting_calls.h"
@@ -36,6 +37,7 @@
   telemetry::EventLog events;
   telemetry::Registry metrics;
   CrashMonitor crashes{loop, events, metrics};
+  BufferMonitor buffers{loop, options.memory_bytes, events, metrics};
 };
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -25,7 +25,10 @@
 }  // namespace
 
 EndpointCall::EndpointCall(Context& context, CallPlan plan, CallCallbacks callbacks)
-    : context_(context), plan_(std::move(plan)), callbacks_(std::move(callbacks)) {}
+    : context_(context),
+      plan_(std::move(plan)),
+      held_(context.buffers, 2 * plan_.body.size()),
+      callbacks_(std::move(callbacks)) {}
 
 bool EndpointCall::IsStream() const {
   return plan_.kind == RequestKind::kStream || plan_.kind == RequestKind::kResumableStream;
@@ -209,6 +212,7 @@
     return;
   }
   buffered_body_.append(data);
+  held_.Set(2 * plan_.body.size() + buffered_body_.size());
   if (buffered_body_.size() > kMaxBufferedBytes) {
     StartDelivery();
   }
@@ -230,6 +234,7 @@
   callbacks_.on_head(status_, response_headers_);
   if (!buffered_body_.empty()) {
     const std::string buffered = std::exchange(buffered_body_, {});
+    held_.Set(2 * plan_.body.size());
     callbacks_.on_data(buffered);
   }
 }
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -112,6 +112,8 @@
 
   Context& context_;
   CallPlan plan_;
+  /// The plan's body, its copy for the attempt and the buffered part of the response.
+  HeldBytes held_;
   CallCallbacks callbacks_;
   EndpointId endpoint_;
   /// Run of the endpoint at the start of the attempt.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -28,6 +28,8 @@
 constexpr Duration kMaintenancePeriod = std::chrono::seconds(5);
 // Time for a few appends; after a longer wait the store is considered unavailable.
 constexpr Duration kHandOverTimeout = std::chrono::milliseconds(400);
+// A refused caller finds another daemon at once; here, slow callers take longer than this to read.
+constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(500);
 // If fewer daemons are ready in its own zone, a caller also gets those of other zones.
 constexpr std::size_t kMinEntryPointsInZone = 2;
 constexpr std::size_t kMaxEntryPoints = 64;
@@ -163,6 +165,7 @@
           .on_requester_disconnected =
               [this](const DaemonId& daemon) { router.OnRequesterDisconnected(daemon); }});
   links->SetMembers(members);
+  context.buffers.SetPeerBytes([this] { return links->queued_bytes(); });
   ScheduleHeartbeat();
   ScheduleLoadReport();
   configuration_exchange.Start();
@@ -269,6 +272,10 @@
     sink->SendError({.status = 503, .reason = "stopping"});
     return;
   }
+  if (!context.buffers.AcceptRequest()) {
+    sink->SendError({.status = 503, .reason = "memory_limited", .retry_after = kMemoryRetryAfter});
+    return;
+  }
   std::uint32_t priority = route->priority;
   if (context.caller_keys.required()) {
     if (const auto error = Authorise(context, *route, request, priority)) {
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -289,6 +289,17 @@
   return bytes;
 }
 
+std::size_t PeerLinks::queued_bytes() const {
+  std::size_t bytes = 0;
+  for (const auto& [daemon, outgoing] : outgoing_) {
+    bytes += outgoing.connection == nullptr ? 0 : outgoing.connection->pending_bytes();
+  }
+  for (const auto& [key, incoming] : incoming_) {
+    bytes += incoming->connection->pending_bytes();
+  }
+  return bytes;
+}
+
 Duration PeerLinks::PeriodFor(const Member& member) const {
   return member.zone == context_.options.self.zone ? periods_.same_zone : periods_.other_zone;
 }
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -71,6 +71,8 @@
   std::vector<DaemonId> OpenPeers() const;
   /// @brief Bytes of messages that other daemons have not acknowledged.
   std::size_t undelivered_bytes() const;
+  /// @brief Bytes of messages that no socket has taken yet.
+  std::size_t queued_bytes() const;
 
  private:
   struct Outgoing {
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -24,6 +24,7 @@
     : context_(context),
       partition_(std::move(partition)),
       request_(std::move(request)),
+      held_(context.buffers, request_.body.size()),
       dependencies_(std::move(dependencies)),
       sink_(std::move(sink)),
       on_ended_(std::move(on_ended)),
@@ -51,6 +52,19 @@
     chain_body_ += turn->input;
     chain_body_ += turn->output;
   }
+  UpdateHeldBytes();
+}
+
+void TurnRun::UpdateHeldBytes() {
+  if (!context_.buffers.enabled()) {
+    return;
+  }
+  std::size_t bytes = request_.body.size() + chain_body_.size() + output_.size() +
+                      data_awaiting_reservation_.size() + delayed_data_.size();
+  for (const ledger::Turn& turn : imported_turns_) {
+    bytes += turn.input.size() + turn.output.size();
+  }
+  held_.Set(bytes);
 }
 
 void TurnRun::SearchChain() {
@@ -96,7 +110,8 @@
                 .preferred = dependencies_.preferred_endpoint(request_.program),
                 .prompt = request_.prompt,
                 .credential = request_.credential};
-  chain_body_.clear();
+  chain_body_ = std::string();
+  UpdateHeldBytes();
   call_ = std::make_shared<EndpointCall>(
       context_, std::move(plan),
       CallCallbacks{
@@ -152,6 +167,7 @@
     FlushDelayedData();
     sink_->Data(data);
   }
+  UpdateHeldBytes();
 }
 
 void TurnRun::DelayData(std::string data) {
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -62,6 +62,7 @@
   bool waits_for_record() const { return admitted_ && !reserved_; }
 
  private:
+  void UpdateHeldBytes();
   void AddChainToBody(const std::vector<const ledger::Turn*>& chain);
   void SearchChain();
   void Admit();
@@ -96,6 +97,8 @@
   Context& context_;
   std::shared_ptr<ledger::Partition> partition_;
   TurnRequest request_;
+  /// The body, the chain and what is kept of the response.
+  HeldBytes held_;
   TurnDependencies dependencies_;
   ResponseSinkPtr sink_;
   std::function<void()> on_ended_;
--- a/src/net/http_responder.cc
+++ b/src/net/http_responder.cc
@@ -75,6 +75,21 @@
   return pending_.size();
 }
 
+std::size_t H2oResponder::buffered_bytes() const {
+  return request_ == nullptr ? 0 : pending_.size() + sending_.size();
+}
+
+std::uint64_t H2oResponder::delivered_bytes() {
+  if (request_ != nullptr && !connection_lost_) {
+    // The socket may also hold heads and chunk sizes, so this can be a little too low.
+    const std::size_t unacknowledged = UnacknowledgedBytes();
+    if (handed_over_bytes_ > unacknowledged) {
+      delivered_bytes_ = std::max(delivered_bytes_, handed_over_bytes_ - unacknowledged);
+    }
+  }
+  return delivered_bytes_;
+}
+
 std::size_t H2oResponder::UnacknowledgedBytes() const {
   return uv_stream_get_write_queue_size(stream_) +
          ReadSocketState(FileDescriptor()).undelivered_bytes;
@@ -121,6 +136,7 @@
   final_sent_ = ended_;
   progress_at_ = loop_.Now();
   unacknowledged_at_progress_ = SIZE_MAX;
+  handed_over_bytes_ += sending_.size();
   h2o_iovec_t buffer = ToIovec(sending_);
   h2o_send(request_, &buffer, sending_.empty() ? 0 : 1,
            ended_ ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
--- a/src/net/http_responder.h
+++ b/src/net/http_responder.h
@@ -3,6 +3,7 @@
 
 #include <uv.h>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -29,6 +30,9 @@
   void Abort() override;
   void Respond(int status, const Headers& headers, std::string_view body) override;
   std::size_t pending_bytes() const override;
+  std::size_t buffered_bytes() const override;
+  std::uint64_t delivered_bytes() override;
+  void Discard() override { AbortWithoutCallback(); }
   bool closed() const override;
   void OnClosed(std::function<void()> callback) override;
 
@@ -75,6 +79,8 @@
   /// Start of the send in flight, or the last time when the client had acknowledged more of it.
   MonotonicTime progress_at_;
   std::size_t unacknowledged_at_progress_ = 0;
+  std::uint64_t handed_over_bytes_ = 0;
+  std::uint64_t delivered_bytes_ = 0;
   bool head_only_ = false;
   bool started_ = false;
   bool ended_ = false;
