--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -150,7 +150,7 @@
   /// @brief Bytes accepted by Write and not yet handed to the socket.
   virtual std::size_t pending_bytes() const = 0;
   /// @brief Bytes of the response in the memory of the process: pending ones and those that the
-  /// socket has not accepted yet.
+  /// socket has not accepted yet; 0 for a connection that is being closed.
   virtual std::size_t buffered_bytes() const = 0;
   /// @brief Bytes that the client has acknowledged, approximately; never decreases.
   virtual std::uint64_t delivered_bytes() = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -28,8 +28,6 @@
 constexpr Duration kMaintenancePeriod = std::chrono::seconds(5);
 // Time for a few appends; after a longer wait the store is considered unavailable.
 constexpr Duration kHandOverTimeout = std::chrono::milliseconds(400);
-// A refused caller finds another daemon at once; here, slow callers take longer than this to read.
-constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(500);
 // If fewer daemons are ready in its own zone, a caller also gets those of other zones.
 constexpr std::size_t kMinEntryPointsInZone = 2;
 constexpr std::size_t kMaxEntryPoints = 64;
@@ -273,7 +271,7 @@
     return;
   }
   if (!context.buffers.AcceptRequest()) {
-    sink->SendError({.status = 503, .reason = "memory_limited", .retry_after = kMemoryRetryAfter});
+    sink->SendError(MakeMemoryError());
     return;
   }
   std::uint32_t priority = route->priority;
--- a/src/gateway/response_sink.cc
+++ b/src/gateway/response_sink.cc
@@ -9,6 +9,9 @@
 // About the run time of one turn or call, after which a rejected request is likely to find
 // capacity.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(150);
+// Slow callers take at least this long to read what is buffered for them; other daemons may have
+// memory at once.
+constexpr Duration kMemoryRetryAfter = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -34,6 +37,10 @@
       outcome);
 }
 
+HttpError MakeMemoryError() {
+  return {.status = 503, .reason = "memory_limited", .retry_after = kMemoryRetryAfter};
+}
+
 void Fail(ResponseSink& sink, bool response_started, const HttpError& error) {
   if (response_started) {
     sink.Abort(error.reason);
--- a/src/gateway/response_sink.h
+++ b/src/gateway/response_sink.h
@@ -41,6 +41,9 @@
 /// @brief The error response for a request whose call ended with `outcome` and without a response.
 HttpError MakeHttpError(const Outcome& outcome);
 
+/// @brief The error response for a request that is refused because too many bytes are buffered.
+HttpError MakeMemoryError();
+
 /// @brief Ends a request that has no complete response: aborts the response if it has started,
 /// otherwise sends `error`.
 void Fail(ResponseSink& sink, bool response_started, const HttpError& error);
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -309,6 +309,10 @@
     reply(TurnRejected{.exchange = request.exchange, .not_owner = true});
     return;
   }
+  if (!context_.buffers.AcceptRequest()) {
+    reply(TurnRejected{.exchange = request.exchange, .error = MakeMemoryError()});
+    return;
+  }
   const PeerTurnKey key{.requester = daemon, .exchange = request.exchange};
   const auto sink = std::make_shared<PeerResponseSink>(request.exchange, reply);
   const auto run =
--- a/src/net/http_responder.cc
+++ b/src/net/http_responder.cc
@@ -76,7 +76,7 @@
 }
 
 std::size_t H2oResponder::buffered_bytes() const {
-  return request_ == nullptr ? 0 : pending_.size() + sending_.size();
+  return request_ == nullptr || connection_lost_ ? 0 : pending_.size() + sending_.size();
 }
 
 std::uint64_t H2oResponder::delivered_bytes() {
