--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -223,6 +223,9 @@
   organisations::CallerKeysOptions caller_keys = {};
   /// The limits of organisations do not apply without it.
   std::optional<organisations::LimitTolerance> limit_tolerance = {};
+  /// Memory of the daemon, of which bytes buffered for slow callers may take a part. Without it,
+  /// only the bytes of each connection are limited.
+  std::optional<std::size_t> memory_bytes = {};
   /// Parses configurations that other daemons send; none are applied without it.
   ParseConfiguration parse_configuration = {};
 };
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -6,6 +6,7 @@
 
 #include "acaciaspring/gateway.h"
 #include "acaciaspring/telemetry.h"
+#include "src/gateway/buffer_monitor.h"
 #include "src/gateway/crash_monitor.h"
 #include "src/gateway/endpoint_table.h"
 #include "src/gateway/permit_exchange.h"
@@ -38,6 +39,7 @@
   telemetry::Registry metrics;
   CrashMonitor crashes{loop, events, metrics};
   PermitExchange permits{loop, events, metrics, options};
+  BufferMonitor buffers{loop, options.memory_bytes, events, metrics};
 };
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -191,6 +191,7 @@
        .self_ready = [this] { return MakeStatus().ready; },
        .longest_period = [this] { return links->LongestPeriod(); }});
   links->SetMembers(members);
+  context.buffers.SetPeerBytes([this] { return links->queued_bytes(); });
   ScheduleHeartbeat();
   ScheduleLoadReport();
   configuration_exchange.Start();
@@ -300,6 +301,10 @@
     sink->SendError({.status = 503, .reason = "stopping"});
     return;
   }
+  if (!context.buffers.AcceptRequest()) {
+    sink->SendError(MakeMemoryError());
+    return;
+  }
   std::uint32_t priority = route->priority;
   if (context.caller_keys.required()) {
     if (const auto error = Authorise(context, *route, request, priority)) {
