--- a/src/gateway/test_cluster.h
+++ b/src/gateway/test_cluster.h
@@ -121,7 +121,7 @@
     options.headers = MakeTestHeaderNames();
     std::vector<Member> members;
     for (const char* name : {"owner", "front"}) {
-      members.push_back({.id = DaemonId(name), .peer_address = net::UnusedAddress()});
+      members.push_back({.id = DaemonId(name), .peer_address = net::ReservedAddress()});
     }
     for (std::size_t i = 0; i < members.size(); ++i) {
       options.self = members[i];
--- a/src/net/test_support.h
+++ b/src/net/test_support.h
@@ -28,7 +28,7 @@
 
 /// @brief An address to listen on that is known before its server starts. A port that was free a
 /// moment ago on a shared address may be taken by a connection of another test.
-inline Address UnusedAddress() {
+inline Address ReservedAddress() {
   static std::uint16_t port = 7000;
   return {.ip = ProcessIp(), .port = ++port};
 }
