--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -213,6 +213,8 @@
   organisations::CallerKeysOptions caller_keys = {};
   /// Parses configurations that other daemons send; none are applied without it.
   ParseConfiguration parse_configuration = {};
+  /// Limit the calls in flight at endpoints that start or recover.
+  bool limit_concurrency = false;
 };
 
 /// @brief Addresses at which callers can reach the cluster, and how long they are valid.
--- a/src/gateway/context.h
+++ b/src/gateway/context.h
@@ -19,7 +19,9 @@
         options(gateway_options),
         // Endpoints with a shorter idle limit announce it in the keep-alive header.
         client(event_loop, {.pool_capacity = 64, .pool_idle_timeout = std::chrono::seconds(10)}),
-        endpoints(gateway_options.self.zone, {.self = gateway_options.self.id}),
+        endpoints(gateway_options.self.zone,
+                  {.self = gateway_options.self.id,
+                   .limit_concurrency = gateway_options.limit_concurrency}),
         waiting_calls(event_loop),
         caller_keys(gateway_options.caller_keys),
         random(Hash64(gateway_options.self.id.value(), gateway_options.self.incarnation.value())) {}
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -183,9 +183,16 @@
   // request may be repeated at another endpoint.
   if (HasEvents()) {
     StartDelivery();
+  } else if (status < 300) {
+    ReportFirstEvent(context_.loop.Now());
   }
 }
 
+void EndpointCall::ReportFirstEvent(MonotonicTime now) {
+  context_.endpoints.OnFirstEvent(
+      endpoint_, std::chrono::duration_cast<Duration>(now - attempt_started_), now);
+}
+
 void EndpointCall::OnData(std::string_view data) {
   received_bytes_ += data.size();
   if (rejected_) {
@@ -221,6 +228,7 @@
   last_event_at_ = context_.loop.Now();
   if (++events_ == 1) {
     first_event_at_ = last_event_at_;
+    ReportFirstEvent(first_event_at_);
   }
 }
 
@@ -382,7 +390,9 @@
     LogAttempt(result);
   }
   attempt_timer_.Cancel();
-  context_.endpoints.OnFinished(endpoint_, result, context_.loop.Now());
+  const MonotonicTime now = context_.loop.Now();
+  context_.endpoints.OnFinished(endpoint_, result, now,
+                                std::chrono::duration_cast<Duration>(now - attempt_started_));
   CloseIdleIfLeaving();
 }
 
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -76,6 +76,8 @@
   void LogRateLimited(const std::string& decision, Duration expected) const;
   net::HttpClientRequest MakeRequest(const RegisteredEndpoint& endpoint) const;
   void OnHead(int status, const net::Headers& headers);
+  /// @brief Tells the endpoint table how long the endpoint took to begin its response.
+  void ReportFirstEvent(MonotonicTime now);
   void ReadRateLimit(const net::Headers& headers);
   /// @brief Reads and removes the endpoint's word that it leaves.
   void ReadLeaving();
--- a/src/gateway/endpoint_table.cc
+++ b/src/gateway/endpoint_table.cc
@@ -20,12 +20,24 @@
 constexpr double kMaxSlowness = 0.5;
 // Added to the delay of an avoided endpoint, which is chosen only if all others are avoided too.
 constexpr double kAvoidedDelay = 1e9;
+constexpr double kAvoidedScore = 100;
+// Added to an endpoint at its concurrency limit, which is chosen only if all others are at theirs
+// too, and rather than an avoided one.
+constexpr double kAtLimitDelay = 1e8;
+constexpr double kAtLimitScore = 50;
+// Delay equivalent to a load of once the limit, well above the cost of reading a prompt.
+constexpr double kRelativeLoadDelay = 1e6;
+// Keeps endpoints at their limit before avoided ones.
+constexpr double kMaxRelativeLoad = 40;
+// Below all other scores.
+constexpr double kStickyScore = -100;
 
 }  // namespace
 
 std::vector<ReturnedEndpoint> EndpointTable::SetEndpoints(std::vector<RegisteredEndpoint> endpoints,
                                                           MonotonicTime now) {
   std::vector<ReturnedEndpoint> returned = leaving_.OnListed(endpoints, now);
+  concurrency_.OnListed(endpoints, now);
   std::unordered_map<EndpointId, Entry> updated;
   for (RegisteredEndpoint& endpoint : endpoints) {
     const EndpointId id = endpoint.id;
@@ -148,6 +160,14 @@
          static_cast<double>(std::max<std::uint32_t>(entry.description.slots, 1));
 }
 
+EndpointTable::LimitState EndpointTable::FindLimitState(const Entry& entry) const {
+  const std::uint32_t limit = concurrency_.Find(entry.description.id)
+                                  .value_or(std::max<std::uint32_t>(entry.description.slots, 1));
+  const std::uint32_t in_flight = entry.own_in_flight + entry.remote_in_flight;
+  return {.reached = in_flight >= limit,
+          .relative_load = std::min(static_cast<double>(in_flight) / limit, kMaxRelativeLoad)};
+}
+
 bool EndpointTable::Usable(const Entry& entry,
                            const EndpointQuery& query,
                            PermitUse use,
@@ -196,12 +216,20 @@
                                                       const EndpointQuery& query,
                                                       PermitUse use,
                                                       MonotonicTime now,
-                                                      std::mt19937_64& random) const {
+                                                      std::mt19937_64& random) {
+  const bool limited = concurrency_.InForce(query.service);
+  // The choice without concurrency limits, to count the calls that they move.
+  const RegisteredEndpoint* unlimited = nullptr;
+  double unlimited_score = 0;
   if (const auto preferred = endpoints_.find(query.preferred); preferred != endpoints_.end()) {
     const Entry& entry = preferred->second;
     if (Usable(entry, query, use, now) && entry.description.service == query.service &&
         entry.avoid_until <= now && Load(entry) < options_.max_sticky_load) {
-      return &entry.description;
+      if (!limited || !FindLimitState(entry).reached) {
+        return &entry.description;
+      }
+      unlimited = &entry.description;
+      unlimited_score = kStickyScore;
     }
   }
   const RegisteredEndpoint* best = nullptr;
@@ -214,7 +242,8 @@
     // Jitter of up to one slot keeps daemons with the same view from choosing the same endpoint.
     std::uniform_real_distribution<double> jitter(
         0.0, 1.0 / std::max<std::uint32_t>(entry.description.slots, 1));
-    double score = Load(entry) + entry.failure_rate * options_.failure_penalty + jitter(random);
+    const double load = Load(entry);
+    double score = load + entry.failure_rate * options_.failure_penalty + jitter(random);
     if (entry.description.zone != zone_) {
       score += options_.zone_penalty;
     }
@@ -223,13 +252,23 @@
     }
     if (entry.avoid_until > now) {
       // Chosen only if every other endpoint is avoided as well.
-      score += 100.0;
+      score += kAvoidedScore;
+    }
+    if (limited) {
+      if (unlimited == nullptr || score < unlimited_score) {
+        unlimited = &entry.description;
+        unlimited_score = score;
+      }
+      if (const LimitState limit = FindLimitState(entry); limit.reached) {
+        score += kAtLimitScore + limit.relative_load - load;
+      }
     }
     if (best == nullptr || score < best_score) {
       best = &entry.description;
       best_score = score;
     }
   }
+  moved_calls_ += limited && best != unlimited ? 1 : 0;
   return best;
 }
 
@@ -246,6 +285,9 @@
   // Daemons that compare the same counts must not all choose the same engine.
   std::uniform_real_distribution<double> jitter(
       0.0, kJitterCalls * static_cast<double>(costs.per_running_call.count()));
+  const bool limited = concurrency_.InForce(query.service);
+  const RegisteredEndpoint* unlimited = nullptr;
+  double unlimited_cost = 0;
   const RegisteredEndpoint* best = nullptr;
   double best_cost = 0;
   for (std::size_t i = 0; i < service.endpoints.size(); ++i) {
@@ -263,14 +305,24 @@
     const double waiting_calls =
         1.0 + kWaitingShare *
                   std::min(entry.own_in_flight + entry.remote_in_flight, entry.description.slots);
-    const double cost =
+    double cost =
         ExpectedDelay(service, entry, now) + jitter(random) +
         waiting_calls * costs.per_uncached_token.count() * static_cast<double>(uncached.value());
+    if (limited) {
+      if (unlimited == nullptr || cost < unlimited_cost) {
+        unlimited = &entry.description;
+        unlimited_cost = cost;
+      }
+      if (const LimitState limit = FindLimitState(entry); limit.reached) {
+        cost += kAtLimitDelay + limit.relative_load * kRelativeLoadDelay;
+      }
+    }
     if (best == nullptr || cost < best_cost) {
       best = &entry.description;
       best_cost = cost;
     }
   }
+  moved_calls_ += limited && best != unlimited ? 1 : 0;
   return best;
 }
 
@@ -399,7 +451,8 @@
 
 void EndpointTable::OnFinished(const EndpointId& endpoint,
                                AttemptResult result,
-                               MonotonicTime now) {
+                               MonotonicTime now,
+                               Duration duration) {
   const auto found = endpoints_.find(endpoint);
   if (found == endpoints_.end()) {
     return;
@@ -409,13 +462,17 @@
   own_changes_ += IsEngine(entry) ? 1 : 0;
   switch (result) {
     case AttemptResult::kCancelled:
+      return;
     case AttemptResult::kRejected:
+      concurrency_.OnRejected(endpoint, duration, now);
       return;
     case AttemptResult::kSucceeded:
+      concurrency_.OnCompleted(endpoint, duration, now);
       entry.consecutive_failures = 0;
       entry.failure_rate *= 1.0 - options_.failure_weight;
       return;
     case AttemptResult::kFailed:
+      concurrency_.OnFailed(endpoint, duration, now);
       entry.failure_rate += (1.0 - entry.failure_rate) * options_.failure_weight;
       entry.avoid_until =
           now + std::min(options_.first_avoidance * (1 << std::min(entry.consecutive_failures, 6U)),
@@ -425,4 +482,36 @@
   }
 }
 
+void EndpointTable::EnableConcurrencyLimits(bool enabled, MonotonicTime now) {
+  std::vector<RegisteredEndpoint> listed;
+  for (const auto& [id, entry] : endpoints_) {
+    listed.push_back(entry.description);
+  }
+  concurrency_.Enable(enabled, listed, now);
+}
+
+void EndpointTable::OnFirstEvent(const EndpointId& endpoint, Duration time, MonotonicTime now) {
+  concurrency_.OnFirstEvent(endpoint, time, now);
+}
+
+void EndpointTable::OnConcurrencyReports(const std::vector<EndpointLimitReport>& reports,
+                                         MonotonicTime now) {
+  const std::size_t count = std::min(reports.size(), options_.concurrency_limits.max_reports);
+  for (std::size_t i = 0; i < count; ++i) {
+    concurrency_.OnReport(reports[i], now);
+  }
+}
+
+void EndpointTable::UpdateConcurrencyLimits(MonotonicTime now) {
+  if (concurrency_.size() == 0) {
+    return;
+  }
+  for (const auto& [id, entry] : endpoints_) {
+    const auto limit = concurrency_.Find(id);
+    if (limit && entry.remote_in_flight >= *limit) {
+      concurrency_.OnReachedByOthers(id, now);
+    }
+  }
+}
+
 }  // namespace acaciaspring::gateway
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -9,6 +9,7 @@
 
 #include "acaciaspring/gateway.h"
 #include "acaciaspring/routing.h"
+#include "src/gateway/endpoint_limits.h"
 #include "src/gateway/leaving_endpoints.h"
 #include "src/gateway/permit_queue.h"
 #include "src/gateway/rate_limits.h"
@@ -60,6 +61,9 @@
   RateLimitsOptions rate_limits = {};
   /// How long after its last call a service counts as called by this daemon.
   Duration demand_validity = std::chrono::seconds(30);
+  /// Limit the calls in flight at endpoints that start or recover.
+  bool limit_concurrency = false;
+  EndpointLimitsOptions concurrency_limits = {};
 };
 
 struct EndpointQuery {
@@ -97,7 +101,10 @@
   explicit EndpointTable(AvailabilityZone zone, const EndpointTableOptions& options = {})
       : zone_(std::move(zone)),
         options_(options),
-        limits_({.id = options.self, .zone = zone_}, options.rate_limits) {}
+        limits_({.id = options.self, .zone = zone_}, options.rate_limits),
+        concurrency_(options.concurrency_limits) {
+    concurrency_.Enable(options.limit_concurrency, {}, {});
+  }
 
   /// @brief Returns the endpoints that had said that they leave and have been started anew.
   std::vector<ReturnedEndpoint> SetEndpoints(std::vector<RegisteredEndpoint> endpoints,
@@ -150,7 +157,23 @@
   RateLimits& rate_limits() { return limits_; }
   const RateLimits& rate_limits() const { return limits_; }
   void OnStarted(const EndpointId& endpoint, MonotonicTime now);
-  void OnFinished(const EndpointId& endpoint, AttemptResult result, MonotonicTime now);
+  /// @brief `duration` is the time since the start of the attempt.
+  void OnFinished(const EndpointId& endpoint,
+                  AttemptResult result,
+                  MonotonicTime now,
+                  Duration duration = {});
+
+  void EnableConcurrencyLimits(bool enabled, MonotonicTime now);
+  /// @brief The first event of a stream, or the head of another successful response, arrived.
+  void OnFirstEvent(const EndpointId& endpoint, Duration time, MonotonicTime now);
+  /// @brief Applies the concurrency limits that another daemon reports.
+  void OnConcurrencyReports(const std::vector<EndpointLimitReport>& reports, MonotonicTime now);
+  /// @brief Raises limits that are out of date because only other daemons call the endpoint.
+  void UpdateConcurrencyLimits(MonotonicTime now);
+  EndpointLimits& concurrency_limits() { return concurrency_; }
+  const EndpointLimits& concurrency_limits() const { return concurrency_; }
+  /// @brief Calls that were sent elsewhere because their endpoint was at its concurrency limit.
+  std::uint64_t moved_calls() const { return moved_calls_; }
 
   std::size_t size() const { return endpoints_.size(); }
 
@@ -189,7 +212,16 @@
     std::uint32_t streams_measured = 0;
   };
 
+  /// @brief What an endpoint's concurrency limit means for the choice.
+  struct LimitState {
+    bool reached = false;
+    /// Calls in flight relative to the limit, or to the slots.
+    double relative_load = 0;
+  };
+
   double Load(const Entry& entry) const;
+  /// @brief An endpoint without a limit counts as limited by its slots.
+  LimitState FindLimitState(const Entry& entry) const;
   bool Usable(const Entry& entry,
               const EndpointQuery& query,
               PermitUse use,
@@ -200,7 +232,7 @@
                                          const EndpointQuery& query,
                                          PermitUse use,
                                          MonotonicTime now,
-                                         std::mt19937_64& random) const;
+                                         std::mt19937_64& random);
   const RegisteredEndpoint* ChooseForPrompt(ServiceEntry& service,
                                             const EndpointQuery& query,
                                             PermitUse use,
@@ -221,6 +253,8 @@
   std::unordered_map<ServiceId, std::size_t> passed_over_;
   std::unordered_map<ServiceId, TokenCount> engine_memory_;
   RateLimits limits_;
+  EndpointLimits concurrency_;
+  std::uint64_t moved_calls_ = 0;
   std::uint64_t own_changes_ = 0;
   std::unordered_map<DaemonId, InFlightCounts> remote_;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,6 +11,7 @@
 #include "src/gateway/context.h"
 #include "src/gateway/credentials.h"
 #include "src/gateway/endpoint_call.h"
+#include "src/gateway/endpoint_limit_log.h"
 #include "src/gateway/endpoint_registry.h"
 #include "src/gateway/ownership.h"
 #include "src/gateway/peer_links.h"
@@ -46,6 +47,7 @@
   Impl(net::Loop& loop, GatewayOptions options, ledger::PartitionStore& store)
       : context(loop, options),
         rate_limits(context),
+        endpoint_limit_log(context),
         configuration_exchange(
             context,
             {.links = [this] { return links.get(); },
@@ -83,6 +85,7 @@
 
   Context context;
   RateLimitExchange rate_limits;
+  EndpointLimitLog endpoint_limit_log;
   ConfigurationExchange configuration_exchange;
   std::optional<Configuration> configuration;
   std::unique_ptr<RouteTable> routes;
@@ -117,6 +120,7 @@
               [this](const DaemonId& daemon, const PeerStatus& status) {
                 rate_limits.OnHeard(daemon);
                 context.endpoints.SetRemoteCounts(daemon, status.in_flight);
+                context.endpoints.OnConcurrencyReports(status.endpoint_limits, context.loop.Now());
                 ownership.OnStatus(daemon, status);
                 router.RetryWaitingTurns();
               },
@@ -177,6 +181,7 @@
 void Gateway::Impl::ScheduleHeartbeat() {
   heartbeat = context.loop.After(links->HeartbeatPeriod(), [this] {
     links->Heartbeat(MakeStatus());
+    endpoint_limit_log.Update();
     rate_limits.Update([this](const PeerMessage& message) { links->SendToAll(message); });
     ScheduleHeartbeat();
   });
@@ -201,10 +206,12 @@
 }
 
 PeerStatus Gateway::Impl::MakeStatus() {
-  return {.ready = configuration.has_value() && endpoints_known && !stop_plan,
-          .in_flight = context.endpoints.OwnCounts(),
-          .owned = ownership.OwnedPartitions(),
-          .has_writable_partition = !ownership.WritablePartitions().empty()};
+  return {
+      .ready = configuration.has_value() && endpoints_known && !stop_plan,
+      .in_flight = context.endpoints.OwnCounts(),
+      .owned = ownership.OwnedPartitions(),
+      .has_writable_partition = !ownership.WritablePartitions().empty(),
+      .endpoint_limits = context.endpoints.concurrency_limits().MakeReports(context.loop.Now())};
 }
 
 void Gateway::Impl::SendStatus() {
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -43,9 +43,11 @@
   std::vector<OwnedPartition> owned = {};
   /// The sender serves a partition that currently accepts records.
   bool has_writable_partition = false;
+  /// Concurrency limits of endpoints; empty where they are not enabled.
+  std::vector<EndpointLimitReport> endpoint_limits = {};
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(ready, in_flight, owned, has_writable_partition);
+    archive(ready, in_flight, owned, has_writable_partition, endpoint_limits);
   }
 };
 
