--- a/src/gateway/endpoint_limit_log.cc
+++ b/src/gateway/endpoint_limit_log.cc
@@ -29,7 +29,8 @@
 
 void EndpointLimitLog::Update() {
   EndpointTable& endpoints = context_.endpoints;
-  if (!endpoints.concurrency_limits().enabled() && counted_moves_ == endpoints.moved_calls()) {
+  const bool was_enabled = std::exchange(enabled_, endpoints.concurrency_limits().enabled());
+  if (!enabled_ && !was_enabled) {
     return;
   }
   endpoints.UpdateConcurrencyLimits(context_.loop.Now());
--- a/src/gateway/endpoint_limit_log.h
+++ b/src/gateway/endpoint_limit_log.h
@@ -14,6 +14,7 @@
 
  private:
   Context& context_;
+  bool enabled_ = false;
   std::uint64_t counted_moves_ = 0;
 };
 
--- a/src/gateway/endpoint_limits.cc
+++ b/src/gateway/endpoint_limits.cc
@@ -140,17 +140,21 @@
   }
 }
 
-void EndpointLimits::OnCompleted(const EndpointId& endpoint,
+bool EndpointLimits::OnCompleted(const EndpointId& endpoint,
                                  Duration call_duration,
                                  MonotonicTime now) {
-  if (Run* run = FindRun(endpoint)) {
-    run->consecutive_failures = 0;
-    OnOwnObservation(*run, /*responds=*/true, now);
-    if (run->active) {
-      run->active->limit.OnCompleted(call_duration, now);
-      EndIfReached(endpoint, *run, now);
-    }
+  Run* run = FindRun(endpoint);
+  if (run == nullptr) {
+    return false;
   }
+  run->consecutive_failures = 0;
+  OnOwnObservation(*run, /*responds=*/true, now);
+  if (!run->active) {
+    return false;
+  }
+  run->active->limit.OnCompleted(call_duration, now);
+  EndIfReached(endpoint, *run, now);
+  return true;
 }
 
 void EndpointLimits::OnRejected(const EndpointId& endpoint,
@@ -182,26 +186,26 @@
   }
 }
 
-void EndpointLimits::OnReport(const EndpointLimitReport& report, MonotonicTime now) {
+bool EndpointLimits::OnReport(const EndpointLimitReport& report, MonotonicTime now) {
   Run* run = FindRun(report.endpoint);
   if (run == nullptr || run->started_at_ms != report.started_at_ms ||
       !std::isfinite(report.limit) || report.limit < 0 || report.age_us < 0) {
-    return;
+    return false;
   }
   const Duration age(report.age_us);
   if (age > 2 * options_.report_age) {
-    return;
+    return false;
   }
   const MonotonicTime observed_at = now - age;
   if (run->observed_at && observed_at <= *run->observed_at) {
-    return;
+    return false;
   }
   if (report.limit == 0) {
     End(report.endpoint, *run, EndpointLimitCause::kReported, now);
   } else {
     if (!run->active) {
       if (run->ended_at && now - *run->ended_at < options_.settling) {
-        return;
+        return false;
       }
       Begin(report.endpoint, *run, EndpointLimitCause::kReported, now);
     }
@@ -211,6 +215,7 @@
     }
   }
   run->observed_at = observed_at;
+  return true;
 }
 
 void EndpointLimits::OnReachedByOthers(const EndpointId& endpoint, MonotonicTime now) {
--- a/src/gateway/endpoint_limits.h
+++ b/src/gateway/endpoint_limits.h
@@ -79,11 +79,13 @@
   void OnListed(const std::vector<RegisteredEndpoint>& endpoints, MonotonicTime now);
 
   void OnFirstEvent(const EndpointId& endpoint, Duration time, MonotonicTime now);
-  void OnCompleted(const EndpointId& endpoint, Duration call_duration, MonotonicTime now);
+  /// @brief Returns whether the endpoint had a limit.
+  bool OnCompleted(const EndpointId& endpoint, Duration call_duration, MonotonicTime now);
   void OnRejected(const EndpointId& endpoint, Duration call_duration, MonotonicTime now);
   void OnFailed(const EndpointId& endpoint, Duration call_duration, MonotonicTime now);
   /// @brief Applies a report of another daemon unless this one has a newer observation.
-  void OnReport(const EndpointLimitReport& report, MonotonicTime now);
+  /// Returns whether it was applied.
+  bool OnReport(const EndpointLimitReport& report, MonotonicTime now);
   /// @brief Raises a limit that the calls of other daemons have reached, if it is out of date.
   void OnReachedByOthers(const EndpointId& endpoint, MonotonicTime now);
 
--- a/src/gateway/endpoint_table.h
+++ b/src/gateway/endpoint_table.h
@@ -63,6 +63,10 @@
   Duration demand_validity = std::chrono::seconds(30);
   /// Limit the calls in flight at endpoints that start or recover.
   bool limit_concurrency = false;
+  /// Time in which the failure rate of an endpoint with a concurrency limit decays after it has
+  /// been avoided. The limit bounds the cost of further failures, and without calls no response
+  /// could show that it has recovered.
+  Duration failure_decay = std::chrono::seconds(2);
   EndpointLimitsOptions concurrency_limits = {};
 };
 
@@ -220,6 +224,8 @@
   };
 
   double Load(const Entry& entry) const;
+  /// @brief Failure rate for the choice. `limited` if limits are in force in the service.
+  double FailureRate(const Entry& entry, bool limited, MonotonicTime now) const;
   /// @brief An endpoint without a limit counts as limited by its slots.
   LimitState FindLimitState(const Entry& entry) const;
   bool Usable(const Entry& entry,
@@ -239,7 +245,10 @@
                                             MonotonicTime now,
                                             std::mt19937_64& random);
   /// @brief Expected delay of a prompt on the endpoint, in microseconds, apart from reading it.
-  double ExpectedDelay(const ServiceEntry& service, const Entry& entry, MonotonicTime now) const;
+  double ExpectedDelay(const ServiceEntry& service,
+                       const Entry& entry,
+                       bool limited,
+                       MonotonicTime now) const;
   void UpdateServices();
   bool IsEngine(const Entry& entry) const;
 
--- a/src/scheduling/concurrency_limit.cc
+++ b/src/scheduling/concurrency_limit.cc
@@ -36,7 +36,7 @@
 
 void ConcurrencyLimit::OnFailed(Duration call_duration, MonotonicTime now) {
   // The calls of one overload fail together and are one sign of it.
-  if (now - call_duration >= reduced_at_) {
+  if (now - call_duration >= reduced_at_ && now - reduced_at_ >= options_.failure_interval) {
     Reduce(options_.failure_factor, now);
   }
 }
--- a/src/scheduling/concurrency_limit.h
+++ b/src/scheduling/concurrency_limit.h
@@ -13,6 +13,8 @@
   double initial_share = 1.0 / 6;
   /// Factor that a rejection or a failure applies to the limit.
   double failure_factor = 0.5;
+  /// Minimum time between two such reductions; endpoints reject calls within a millisecond.
+  Duration failure_interval = std::chrono::milliseconds(100);
   /// Factor that slow first events apply.
   double slow_factor = 0.7;
   /// A first event counts as slow after this multiple of the best time plus the slack. Tool calls
