--- a/src/gateway/entry_directory.cc
+++ b/src/gateway/entry_directory.cc
@@ -86,6 +86,9 @@
   }
   correction_ = CapacityCorrection();
   measure_timer_ = {};
+  // The weakest daemons see too few responses to tell by themselves how an endpoint fares.
+  context_.endpoints.EnableConcurrencyLimits(weighted || context_.options.limit_concurrency,
+                                             context_.loop.Now());
   if (weighted) {
     measure_timer_ = context_.loop.Every(CapacityCorrectionOptions().period, [this] { Measure(); });
   }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,6 +11,7 @@
 #include "src/gateway/context.h"
 #include "src/gateway/credentials.h"
 #include "src/gateway/endpoint_call.h"
+#include "src/gateway/endpoint_limit_log.h"
 #include "src/gateway/endpoint_registry.h"
 #include "src/gateway/entry_directory.h"
 #include "src/gateway/ownership.h"
@@ -44,6 +45,7 @@
   Impl(net::Loop& loop, GatewayOptions options, ledger::PartitionStore& store)
       : context(loop, options),
         rate_limits(context),
+        endpoint_limit_log(context),
         configuration_exchange(
             context,
             {.links = [this] { return links.get(); },
@@ -88,6 +90,7 @@
 
   Context context;
   RateLimitExchange rate_limits;
+  EndpointLimitLog endpoint_limit_log;
   ConfigurationExchange configuration_exchange;
   EntryDirectory entry_directory;
   std::optional<Configuration> configuration;
@@ -124,6 +127,7 @@
                 rate_limits.OnHeard(daemon);
                 context.permits.OnHeard(daemon);
                 context.endpoints.SetRemoteCounts(daemon, status.in_flight);
+                context.endpoints.OnConcurrencyReports(status.endpoint_limits, context.loop.Now());
                 ownership.OnStatus(daemon, status);
                 router.RetryWaitingTurns();
               },
@@ -207,6 +211,7 @@
 void Gateway::Impl::ScheduleHeartbeat() {
   heartbeat = context.loop.After(links->HeartbeatPeriod(), [this] {
     links->Heartbeat(MakeStatus());
+    endpoint_limit_log.Update();
     rate_limits.Update([this](const PeerMessage& message) { links->SendToAll(message); });
     ScheduleHeartbeat();
   });
@@ -231,11 +236,13 @@
 }
 
 PeerStatus Gateway::Impl::MakeStatus() {
-  return {.ready = IsReady(),
-          .in_flight = context.endpoints.OwnCounts(),
-          .owned = ownership.OwnedPartitions(),
-          .has_writable_partition = !ownership.WritablePartitions().empty(),
-          .capacity_correction = entry_directory.correction()};
+  return {
+      .ready = IsReady(),
+      .in_flight = context.endpoints.OwnCounts(),
+      .owned = ownership.OwnedPartitions(),
+      .has_writable_partition = !ownership.WritablePartitions().empty(),
+      .capacity_correction = entry_directory.correction(),
+      .endpoint_limits = context.endpoints.concurrency_limits().MakeReports(context.loop.Now())};
 }
 
 void Gateway::Impl::SendStatus() {
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -45,9 +45,11 @@
   bool has_writable_partition = false;
   /// Factor from 0.1 to 1 by which the sender's measurements reduce its capacity.
   double capacity_correction = 1;
+  /// Concurrency limits of endpoints; empty where they are not enabled.
+  std::vector<EndpointLimitReport> endpoint_limits = {};
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(ready, in_flight, owned, has_writable_partition, capacity_correction);
+    archive(ready, in_flight, owned, has_writable_partition, capacity_correction, endpoint_limits);
   }
 };
 
