Correct two comments on keys and permits

Requests of started programs wait longer than half a second, so the comment on the age of wants named a former bound; and a configuration is newer, not younger. Comments only.

--- a/include/acaciaspring/organisations.h
+++ b/include/acaciaspring/organisations.h
@@ -64,7 +64,7 @@
   /// Absent if a key is accepted for as long as no newer configuration is known.
   std::optional<Duration> withdrawal_bound = {};
   /// A key that is not in the configuration is refused only if the configuration was the newest
-  /// this long ago; a younger configuration may contain it.
+  /// this long ago; a newer configuration may contain it.
   Duration max_age_for_refusal = std::chrono::seconds(1);
 };
 
--- a/src/organisations/permit_grantor.cc
+++ b/src/organisations/permit_grantor.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Requests wait for half a second; a holder that still waits repeats what it wants.
+// A holder whose requests still wait repeats what it wants every 200 ms.
 constexpr Duration kWantAge = std::chrono::milliseconds(500);
 // Grants that a holder has not confirmed by then were lost.
 constexpr Duration kGrantInTransit = std::chrono::seconds(1);
