Add review case 7: the store fills up and no turn is answered

Cause: a partition is trimmed only when 2000 of its records are no longer needed, whatever their size, and 507 is taken for an unavailable store. Change: a case, and the store's limit in the stand-ins; the product is unchanged.

--- a/review/support-2/harness.cc
+++ b/review/support-2/harness.cc
@@ -8,6 +8,8 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "fakes/json_text.h"
+
 namespace acaciaspring::review {
 
 namespace {
@@ -40,9 +42,27 @@
   file_ << time.data() << line << std::endl;
 }
 
-StoreFront::StoreFront(net::Loop& loop, net::Address store)
+void StoreRoom::OnAppended(const std::string& partition, std::uint64_t end, std::size_t bytes) {
+  auto& appends = appends_[partition];
+  // A repeat gets the result of its first attempt and is stored once.
+  if (appends.empty() || appends.back().first < end) {
+    appends.emplace_back(end, bytes);
+    stored_ += bytes;
+  }
+}
+
+void StoreRoom::OnTrimmed(const std::string& partition, std::uint64_t before) {
+  auto& appends = appends_[partition];
+  while (!appends.empty() && appends.front().first <= before) {
+    stored_ -= appends.front().second;
+    appends.pop_front();
+  }
+}
+
+StoreFront::StoreFront(net::Loop& loop, net::Address store, StoreRoom& room)
     : loop_(loop),
       store_(std::move(store)),
+      room_(room),
       client_(loop, {.pool_capacity = 64, .pool_idle_timeout = std::chrono::seconds(2)}),
       server_(loop,
               {.listen = {.ip = "127.0.0.1", .port = 0}},
@@ -51,6 +71,12 @@
                   responder->Respond(503, {}, "");
                   return;
                 }
+                const bool appends = request.path == "/-/log-append" && !request.body.empty();
+                if (appends && !room_.HasRoomFor(request.body.size())) {
+                  room_.CountRefused();
+                  responder->Respond(507, {}, "");
+                  return;
+                }
                 const std::uint64_t number = next_call_++;
                 calls_[number] = net::Fetch(
                     client_,
@@ -67,19 +93,37 @@
                         responder->Abort();
                         return;
                       }
+                      Account(request, finished->status, reply.body);
                       const Duration delay = delay_ ? delay_(request, reply.body) : Duration(0);
                       if (delay == Duration(0)) {
                         responder->Respond(finished->status, {}, reply.body);
                         return;
                       }
-                      late_answers_[number] =
-                          loop_.After(delay, [responder, status = finished->status,
-                                              body = reply.body] {
+                      late_answers_[number] = loop_.After(
+                          delay, [responder, status = finished->status, body = reply.body] {
                             responder->Respond(status, {}, body);
                           });
                     });
               }) {}
 
+void StoreFront::Account(const net::HttpRequest& request, int status, const std::string& answer) {
+  if (status != 200) {
+    return;
+  }
+  if (request.path == "/-/log-append" && !request.body.empty()) {
+    if (const auto json = fakes::ParseJson(answer)) {
+      room_.OnAppended(std::string(net::FindQueryParameter(request, "topic")) + "/" +
+                           std::string(net::FindQueryParameter(request, "part")),
+                       (*json)["end"].asUInt64(), request.body.size());
+    }
+  } else if (request.path == "/-/log-trim") {
+    if (const auto json = fakes::ParseJson(request.body)) {
+      room_.OnTrimmed((*json)["topic"].asString() + "/" + std::to_string((*json)["part"].asUInt()),
+                      (*json)["before"].asUInt64());
+    }
+  }
+}
+
 Engine::Engine(net::Loop& loop, Journal& journal, std::string id, std::string service)
     : loop_(loop),
       journal_(journal),
@@ -108,10 +152,10 @@
                        "");
     return;
   }
-  runs_.push_back(
-      {.id = id,
-       .body = request.body,
-       .previous_turn = std::string(net::FindHeader(request.headers, "acaciaspring-previous-turn"))});
+  runs_.push_back({.id = id,
+                   .body = request.body,
+                   .previous_turn = std::string(
+                       net::FindHeader(request.headers, "acaciaspring-previous-turn"))});
   const std::size_t found = request.body.rfind("events=");
   const auto count = static_cast<std::uint32_t>(
       found == std::string::npos ? 1 : std::strtoul(request.body.c_str() + found + 7, nullptr, 10));
@@ -150,6 +194,7 @@
                std::uint32_t index,
                const std::string& subnet,
                net::Address store,
+               StoreRoom& room,
                std::uint32_t history_s)
     : loop_(loop),
       journal_(journal),
@@ -158,7 +203,7 @@
       ip_(subnet + std::to_string(10 + index)),
       settings_path_(directory + "/" + name_ + ".toml"),
       log_path_(directory + "/" + name_ + ".log"),
-      front_(loop, std::move(store)),
+      front_(loop, std::move(store), room),
       proxy_(loop, front_.address()) {
   std::ofstream file(settings_path_);
   file << "node_name = \"" << name_ << "\"\nrole = \"gateway\"\nmachine_class = \"front\"\n"
@@ -178,7 +223,8 @@
        << "[platform]\naddress = \"" << proxy_.address().ToString() << "\"\nform = \"log\"\n"
        << "writes_per_s = 600\nreads_per_s = 2000\nparts = " << kParts
        << "\nappend_ms = 2.0\npart_mb_s = 20.0\nread_mb_s = 80.0\nrecord_bytes = 262144\n"
-       << "call_bytes = 2097152\nretain_s = " << history_s << "\npart_mb = 200\nttl_min_ms = 1000\n";
+       << "call_bytes = 2097152\nretain_s = " << history_s
+       << "\npart_mb = 200\nttl_min_ms = 1000\n";
 }
 
 Daemon::~Daemon() {
@@ -249,7 +295,7 @@
     : options_(options),
       journal_(loop_, std::getenv("RECORD") != nullptr ? std::getenv("RECORD") : "record.txt"),
       store_(loop_, {.ip = "127.0.0.1", .port = 0}, {.partitions_per_topic = kParts}),
-      client_(loop_, {.pool_capacity = 64, .pool_idle_timeout = std::chrono::milliseconds(50)}),
+      client_(loop_, {.pool_capacity = 64, .pool_idle_timeout = options.channel_idle}),
       tag_("q" + std::to_string(getpid()) + "x") {
   for (std::uint32_t i = 0; i < options_.engines; ++i) {
     engines_.push_back(
@@ -258,7 +304,7 @@
   const std::string subnet = PickSubnet();
   for (std::uint32_t i = 0; i < options_.daemons; ++i) {
     daemons_.push_back(std::make_unique<Daemon>(loop_, journal_, directory, i, subnet,
-                                                store_.address(), options_.history_s));
+                                                store_.address(), room_, options_.history_s));
   }
   WriteManifest();
   WriteRegistry();
@@ -415,6 +461,8 @@
        .on_done =
            [this, state, number, id = turn.id,
             on_done = std::move(on_done)](const net::HttpResult& result) {
+             state->result.cut = std::holds_alternative<net::HttpInterrupted>(result) &&
+                                 !std::get<net::HttpInterrupted>(result).timed_out;
              state->result.whole =
                  std::holds_alternative<net::HttpFinished>(result) && state->result.status == 200;
              journal_.Write("answer   " + id + ": status " + std::to_string(state->result.status) +
--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -4,6 +4,7 @@
 #include <uv.h>
 
 #include <cstdint>
+#include <deque>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -35,10 +36,28 @@
   MonotonicTime start_;
 };
 
+/// @brief What the store holds, and its limit (PROTOCOL.md: "When 400 MB are stored in total,
+/// appends receive 507"). Counts appends and trims of the topics that the daemons write.
+class StoreRoom {
+ public:
+  bool HasRoomFor(std::size_t bytes) const { return stored_ + bytes <= limit_; }
+  void OnAppended(const std::string& partition, std::uint64_t end, std::size_t bytes);
+  void OnTrimmed(const std::string& partition, std::uint64_t before);
+  std::uint64_t stored() const { return stored_; }
+  std::uint64_t refused() const { return refused_; }
+  void CountRefused() { ++refused_; }
+
+ private:
+  std::uint64_t limit_ = 400'000'000;
+  std::uint64_t stored_ = 0;
+  std::uint64_t refused_ = 0;
+  std::map<std::string, std::deque<std::pair<std::uint64_t, std::size_t>>> appends_;
+};
+
 /// @brief The store as one daemon reaches it: relays its calls, or turns them away.
 class StoreFront {
  public:
-  StoreFront(net::Loop& loop, net::Address store);
+  StoreFront(net::Loop& loop, net::Address store, StoreRoom& room);
   net::Address address() const { return server_.address(); }
   /// @brief Answers all calls with 503, which promises that nothing was done.
   void SetTurnsAway(bool turns_away) { turns_away_ = turns_away; }
@@ -48,8 +67,11 @@
   void SetDelay(DelayAnswer delay) { delay_ = std::move(delay); }
 
  private:
+  void Account(const net::HttpRequest& request, int status, const std::string& answer);
+
   net::Loop& loop_;
   net::Address store_;
+  StoreRoom& room_;
   net::HttpClient client_;
   bool turns_away_ = false;
   DelayAnswer delay_;
@@ -109,6 +131,8 @@
   int status = 0;
   /// The answer arrived whole.
   bool whole = false;
+  /// The daemon closed the channel before the end of the answer.
+  bool cut = false;
   std::uint32_t events = 0;
   std::string output = {};
 };
@@ -123,6 +147,7 @@
          std::uint32_t index,
          const std::string& subnet,
          net::Address store,
+         StoreRoom& room,
          std::uint32_t history_s);
   Daemon(const Daemon&) = delete;
   Daemon& operator=(const Daemon&) = delete;
@@ -170,6 +195,8 @@
   std::uint32_t history_s = 300;
   /// The store drops records that are older than history_s.
   bool expires = false;
+  /// Callers keep idle channels for this long.
+  Duration channel_idle = std::chrono::milliseconds(50);
 };
 
 /// @brief Store, engines, daemons and callers of a small deployment.
@@ -180,6 +207,7 @@
   net::Loop& loop() { return loop_; }
   Journal& journal() { return journal_; }
   fakes::FakeStore& store() { return store_; }
+  const StoreRoom& room() const { return room_; }
   Daemon& daemon(std::size_t index) { return *daemons_.at(index); }
   std::vector<std::unique_ptr<Daemon>>& daemons() { return daemons_; }
   std::vector<std::unique_ptr<Engine>>& engines() { return engines_; }
@@ -209,6 +237,7 @@
   net::Loop loop_;
   Journal journal_;
   fakes::FakeStore store_;
+  StoreRoom room_;
   net::HttpClient client_;
   std::vector<std::unique_ptr<Engine>> engines_;
   std::vector<std::unique_ptr<Daemon>> daemons_;
