--- a/review/support-2/harness.cc
+++ b/review/support-2/harness.cc
@@ -19,6 +19,19 @@
 constexpr std::uint32_t kParts = 12;
 constexpr const char* kBinary = "target/acaciaspring_gatewayd";
 
+// Process ids of the running daemons; 0 for none. Read by the signal handler.
+std::array<volatile pid_t, 16> running_daemons{};
+
+/// @brief Ends the daemons by their ids if the script is stopped before its end.
+void EndDaemons(int) {
+  for (const pid_t pid : running_daemons) {
+    if (pid > 0) {
+      kill(pid, SIGKILL);
+    }
+  }
+  _exit(2);
+}
+
 std::uint64_t BigEndian(std::string_view bytes) {
   std::uint64_t value = 0;
   for (const char byte : bytes) {
@@ -261,6 +274,7 @@
     auto* self = static_cast<Daemon*>(process->data);
     uv_close(reinterpret_cast<uv_handle_t*>(process), nullptr);
     self->running_ = false;
+    running_daemons.at(self->index_) = 0;
     if (self->destroying_) {
       return;
     }
@@ -281,6 +295,7 @@
     return;
   }
   running_ = true;
+  running_daemons.at(index_) = process_.pid;
   journal_.Write("process  " + name_ + " started");
 }
 
@@ -301,6 +316,8 @@
     engines_.push_back(
         std::make_unique<Engine>(loop_, journal_, "i-engine" + std::to_string(i), "engines"));
   }
+  std::signal(SIGTERM, EndDaemons);
+  std::signal(SIGINT, EndDaemons);
   const std::string subnet = PickSubnet();
   for (std::uint32_t i = 0; i < options_.daemons; ++i) {
     daemons_.push_back(std::make_unique<Daemon>(loop_, journal_, directory, i, subnet,
