Move the parser of responses out of HttpConnection

HttpConnection held the socket, the ownership of responses and the callbacks of http_parser in one class.

--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -17,14 +17,6 @@
 // Responses to earlier requests that are longer than this close the connection.
 constexpr std::size_t kMaxStaleBytes = std::size_t{1} << 20;
 
-HttpConnection& FromParser(http_parser* parser) {
-  return *static_cast<HttpConnection*>(parser->data);
-}
-
-bool IsInformational(const http_parser& parser) {
-  return parser.status_code >= 100 && parser.status_code < 200;
-}
-
 }  // namespace
 
 void HttpConnection::Connect(const Address& server) {
@@ -95,14 +87,8 @@
 }
 
 void HttpConnection::StartParser() {
-  complete_ = false;
   stale_ = false;
-  http_parser_init(&parser_, HTTP_RESPONSE);
-  parser_.data = this;
-  headers_.clear();
-  header_name_.clear();
-  header_value_.clear();
-  in_header_value_ = false;
+  parser_.Start();
 }
 
 void HttpConnection::OnRead(ssize_t size, const uv_buf_t* buffer) {
@@ -126,7 +112,7 @@
 bool HttpConnection::CompleteOnEof() {
   // At the end of the connection the parser completes only a response without a length.
   if (!request_.accept_close_delimited || stale_ || !HasOrderlyEnd() ||
-      http_parser_execute(&parser_, &ParserSettings(), nullptr, 0) != 0 || !complete_) {
+      parser_.ParseEnd() != ResponseParser::State::kComplete) {
     return false;
   }
   FinishResponse(/*reusable=*/false);
@@ -135,25 +121,23 @@
 
 void HttpConnection::Parse(std::string_view data) {
   while (!data.empty()) {
-    const std::size_t parsed =
-        http_parser_execute(&parser_, &ParserSettings(), data.data(), data.size());
+    const ResponseParser::State state = parser_.Parse(data);
     if (closed_) {
       return;
     }
-    if (!complete_) {
-      if (parsed != data.size() || parser_.upgrade != 0U || HTTP_PARSER_ERRNO(&parser_) != HPE_OK) {
+    if (state != ResponseParser::State::kComplete) {
+      if (state == ResponseParser::State::kFailed) {
         Disconnect();
       }
       return;
     }
-    data.remove_prefix(parsed);
     if (!stale_) {
       // A server that has sent one response twice may do so again, and a copy of a response without
       // an id could not be told from the next one.
-      FinishResponse(keep_alive_ && data.empty() && !writing_ && !had_stale_ && has_echo_);
+      FinishResponse(parser_.keep_alive() && data.empty() && !writing_ && !had_stale_ && has_echo_);
       return;
     }
-    if (!keep_alive_) {
+    if (!parser_.keep_alive()) {
       Disconnect();
       return;
     }
@@ -172,80 +156,33 @@
   }
 }
 
-const http_parser_settings& HttpConnection::ParserSettings() {
-  static const http_parser_settings settings = [] {
-    http_parser_settings callbacks{};
-    callbacks.on_header_field = [](http_parser* parser, const char* data, size_t size) {
-      HttpConnection& self = FromParser(parser);
-      if (self.in_header_value_) {
-        self.StoreHeader();
-      }
-      self.header_name_.append(data, size);
-      return 0;
-    };
-    callbacks.on_header_value = [](http_parser* parser, const char* data, size_t size) {
-      // Also called, with no bytes, for a header without a value.
-      FromParser(parser).in_header_value_ = true;
-      FromParser(parser).header_value_.append(data, size);
-      return 0;
-    };
-    callbacks.on_headers_complete = [](http_parser* parser) {
-      return FromParser(parser).OnHeadersComplete();
-    };
-    callbacks.on_body = [](http_parser* parser, const char* data, size_t size) {
-      return FromParser(parser).OnBody(std::string_view(data, size));
-    };
-    callbacks.on_message_complete = [](http_parser* parser) {
-      return FromParser(parser).OnMessageComplete();
-    };
-    return callbacks;
-  }();
-  return settings;
-}
-
-void HttpConnection::StoreHeader() {
-  headers_.emplace_back(LowerCase(header_name_), std::move(header_value_));
-  header_name_.clear();
-  header_value_.clear();
-  in_header_value_ = false;
-}
-
-int HttpConnection::OnHeadersComplete() {
-  constexpr int kNoBody = 1;
-  constexpr int kStop = -1;
-  if (in_header_value_) {
-    StoreHeader();
-  }
-  if (IsInformational(parser_)) {
-    headers_.clear();
-    return 0;
-  }
-  const int status = static_cast<int>(parser_.status_code);
-  switch (IdentifyResponse()) {
+ResponseParser::AfterHead HttpConnection::OnResponseHead(int status, const Headers& headers) {
+  using enum ResponseParser::AfterHead;
+  switch (IdentifyResponse(headers)) {
     case ResponseOwner::kEarlierRequest:
       stale_ = true;
       had_stale_ = true;
-      return 0;
+      return kBody;
     case ResponseOwner::kUnknown:
       DiscardUnidentified(status);
       return kStop;
     case ResponseOwner::kCurrentRequest:
       break;
   }
-  ParseKeepAliveTimeout();
+  ParseKeepAliveTimeout(headers);
   if (delegate_ != nullptr) {
-    delegate_->OnHead(status, headers_);
+    delegate_->OnHead(status, headers);
   }
   if (closed_) {
     return kStop;
   }
-  return request_.expects_body ? 0 : kNoBody;
+  return request_.expects_body ? kBody : kEnd;
 }
 
-ResponseOwner HttpConnection::IdentifyResponse() {
+ResponseOwner HttpConnection::IdentifyResponse(const Headers& headers) {
   const bool needs_echo = !request_.echo_header.empty() && !request_.echo_value.empty();
   const std::string_view echo =
-      needs_echo ? FindHeader(headers_, request_.echo_header) : std::string_view();
+      needs_echo ? FindHeader(headers, request_.echo_header) : std::string_view();
   has_echo_ = !needs_echo || !echo.empty();
   return FindResponseOwner(
       {.request_id = needs_echo ? std::string_view(request_.echo_value) : std::string_view(),
@@ -261,9 +198,9 @@
   }
 }
 
-void HttpConnection::ParseKeepAliveTimeout() {
+void HttpConnection::ParseKeepAliveTimeout(const Headers& headers) {
   constexpr std::string_view kParameter = "timeout=";
-  const std::string_view value = FindHeader(headers_, "keep-alive");
+  const std::string_view value = FindHeader(headers, "keep-alive");
   const std::size_t found = value.find(kParameter);
   if (found == std::string_view::npos) {
     return;
@@ -275,26 +212,15 @@
   }
 }
 
-int HttpConnection::OnBody(std::string_view data) {
+bool HttpConnection::OnResponseBody(std::string_view data) {
   if (stale_) {
     stale_bytes_ += data.size();
-    return stale_bytes_ > kMaxStaleBytes ? 1 : 0;
+    return stale_bytes_ <= kMaxStaleBytes;
   }
   if (delegate_ != nullptr) {
     delegate_->OnData(data);
   }
-  return closed_ ? 1 : 0;
-}
-
-int HttpConnection::OnMessageComplete() {
-  if (IsInformational(parser_)) {
-    return 0;
-  }
-  complete_ = true;
-  keep_alive_ = http_should_keep_alive(&parser_) != 0;
-  // Stop the parser at the end of the message: the bytes after it are not part of this response.
-  http_parser_pause(&parser_, 1);
-  return 0;
+  return !closed_;
 }
 
 void HttpConnection::Disconnect() {
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -1,7 +1,6 @@
 #ifndef ACACIASPRING_SRC_NET_HTTP_CONNECTION_H_
 #define ACACIASPRING_SRC_NET_HTTP_CONNECTION_H_
 
-#include <http_parser.h>
 #include <uv.h>
 
 #include <cstdint>
@@ -10,16 +9,18 @@
 #include <string>
 
 #include "acaciaspring/net.h"
+#include "src/net/response_parser.h"
 #include "src/net/response_proof.h"
 
 namespace acaciaspring::net {
 
-/// @brief One TCP connection of the HTTP client, with the parser for the responses.
+/// @brief One TCP connection of the HTTP client.
 ///
 /// The client of h2o 2.2 is not used: it aborts the process on a response with an invalid
 /// Content-Length, and it reports a chunked response as complete when the connection ends between
 /// two chunks.
-class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+class HttpConnection : public ResponseParser::Delegate,
+                       public std::enable_shared_from_this<HttpConnection> {
  public:
   /// @brief Receives the events of the current exchange. Any of the calls may close the connection.
   class Delegate {
@@ -38,7 +39,7 @@
     virtual void OnUnidentifiedResponse(int status) = 0;
   };
 
-  explicit HttpConnection(Loop& loop) : loop_(loop) {}
+  explicit HttpConnection(Loop& loop) : loop_(loop), parser_(*this) {}
 
   void Connect(const Address& server);
   /// @brief `delegate` is null while no exchange uses the connection.
@@ -61,11 +62,13 @@
   /// @brief The timeout from the server's Keep-Alive header, if any.
   std::optional<Duration> keep_alive_timeout() const { return keep_alive_timeout_; }
 
+  ResponseParser::AfterHead OnResponseHead(int status, const Headers& headers) override;
+  bool OnResponseBody(std::string_view data) override;
+
  private:
   /// What the next read of the socket would find.
   enum class ReceiveState : std::uint8_t { kOpen, kData, kEnd, kFailed };
 
-  static const http_parser_settings& ParserSettings();
   void StartReading();
   void OnRead(ssize_t size, const uv_buf_t* buffer);
   void Parse(std::string_view data);
@@ -78,14 +81,10 @@
   bool HasOrderlyEnd();
   void StartParser();
   /// @brief The request that the response whose head has arrived belongs to.
-  ResponseOwner IdentifyResponse();
+  ResponseOwner IdentifyResponse(const Headers& headers);
   void DiscardUnidentified(int status);
-  void ParseKeepAliveTimeout();
+  void ParseKeepAliveTimeout(const Headers& headers);
   void FinishResponse(bool reusable);
-  void StoreHeader();
-  int OnHeadersComplete();
-  int OnBody(std::string_view data);
-  int OnMessageComplete();
   uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket_); }
 
   Loop& loop_;
@@ -95,12 +94,7 @@
   uv_write_t write_{};
   /// The current request. libuv accesses it until it is written.
   OutgoingRequest request_;
-  http_parser parser_{};
-  Headers headers_;
-  std::string header_name_;
-  std::string header_value_;
-  /// The value of the header being read has begun. It may be empty.
-  bool in_header_value_ = false;
+  ResponseParser parser_;
   std::optional<Duration> keep_alive_timeout_;
   /// The response being read belongs to an earlier request.
   bool stale_ = false;
@@ -116,8 +110,6 @@
   /// A write found that the server has reset the connection.
   bool reset_ = false;
   bool in_exchange_ = false;
-  bool keep_alive_ = false;
-  bool complete_ = false;
   bool closed_ = true;
   /// Keeps the connection alive until libuv has closed the socket.
   std::shared_ptr<HttpConnection> self_;
--- /dev/null
+++ b/src/net/response_parser.h
@@ -0,0 +1,78 @@
+#ifndef ACACIASPRING_SRC_NET_RESPONSE_PARSER_H_
+#define ACACIASPRING_SRC_NET_RESPONSE_PARSER_H_
+
+#include <http_parser.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "acaciaspring/net.h"
+
+namespace acaciaspring::net {
+
+/// @brief Parses the responses on one connection of the HTTP client. Informational responses are
+/// skipped.
+class ResponseParser {
+ public:
+  /// @brief What follows the head of a response.
+  enum class AfterHead : std::uint8_t {
+    kBody,
+    /// The response to a HEAD request ends with its head.
+    kEnd,
+    /// The response is not wanted.
+    kStop,
+  };
+
+  /// @brief Receives the parts of a response.
+  class Delegate {
+   public:
+    virtual ~Delegate() = default;
+    virtual AfterHead OnResponseHead(int status, const Headers& headers) = 0;
+    /// @brief Returns false to end the parsing.
+    virtual bool OnResponseBody(std::string_view data) = 0;
+  };
+
+  enum class State : std::uint8_t {
+    kIncomplete,
+    kComplete,
+    /// The bytes are not a valid response, or the delegate has ended the parsing.
+    kFailed,
+  };
+
+  /// @brief `delegate` must outlive the parser.
+  explicit ResponseParser(Delegate& delegate) : delegate_(delegate) {}
+  ResponseParser(const ResponseParser&) = delete;
+  ResponseParser& operator=(const ResponseParser&) = delete;
+
+  /// @brief Prepares for the next response.
+  void Start();
+  /// @brief Parses up to the end of the response and removes the parsed bytes from `data`.
+  State Parse(std::string_view& data);
+  /// @brief Handles an orderly end of the connection, which completes a response without a length.
+  State ParseEnd();
+  /// @brief True if the connection stays open after the response, which must be complete.
+  bool keep_alive() const { return keep_alive_; }
+
+ private:
+  static const http_parser_settings& Settings();
+  static ResponseParser& FromParser(http_parser* parser);
+  bool IsInformational() const;
+  void StoreHeader();
+  int OnHeadersComplete();
+  int OnMessageComplete();
+
+  Delegate& delegate_;
+  http_parser parser_{};
+  State state_ = State::kIncomplete;
+  bool keep_alive_ = false;
+  Headers headers_;
+  std::string header_name_;
+  std::string header_value_;
+  /// The value of the header being read has begun. It may be empty.
+  bool in_header_value_ = false;
+};
+
+}  // namespace acaciaspring::net
+
+#endif  // ACACIASPRING_SRC_NET_RESPONSE_PARSER_H_
