Refuse answers whose status or version HTTP does not have

Cause: ResponseParser passed on whatever number http_parser had read. http_parser reads any run of digits up to 999, so that 000, 099, 2, 0200 and 600 were statuses, and any version, such as HTTP/2.0. EndpointCall takes a status below 300 for a success, so a stream with 000 was passed on event by event, and its turn was recorded for later turns to continue from.

Change: ResponseParser collects the status line and checks it before the parser gets its end: HTTP/1.x and a status of three digits from 100 to 599 (RFC 9112, 4; RFC 9110, 15). A response that fails counts as interrupted like other bytes that are not a response: a safe request is run again, others get 502, a turn is not recorded, and a refusal in such a head promises nothing. All HTTP answers go through this class: those of endpoints, of the store, of the log and of our own daemons. What RFC 9112 lets recipients accept still passes: several blanks before the status, no reason, a bare LF, empty lines before the status line.

--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -1,15 +1,48 @@
 #include "src/net/response_parser.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/net/http_message.h"
 
 namespace acaciaspring::net {
 
+namespace {
+
+bool IsDigit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+bool IsEmptyLine(std::string_view line) {
+  return line == "\r\n" || line == "\n";
+}
+
+/// @brief True for a status line of HTTP/1.x with a status that HTTP defines as valid. Several
+/// blanks before the status and a missing reason are accepted, as RFC 9112 allows.
+bool IsStatusLine(std::string_view line) {
+  constexpr std::string_view kVersion = "HTTP/1.";
+  constexpr std::size_t kStatusDigits = 3;
+  if (!line.starts_with(kVersion) || line.size() == kVersion.size() ||
+      !IsDigit(line[kVersion.size()])) {
+    return false;
+  }
+  line.remove_prefix(kVersion.size() + 1);
+  const std::size_t blanks = std::min(line.find_first_not_of(' '), line.size());
+  line.remove_prefix(blanks);
+  const std::string_view status = line.substr(0, kStatusDigits);
+  line.remove_prefix(status.size());
+  return blanks > 0 && status.size() == kStatusDigits && status[0] >= '1' && status[0] <= '5' &&
+         IsDigit(status[1]) && IsDigit(status[2]) && (line.starts_with(' ') || IsEmptyLine(line));
+}
+
+}  // namespace
+
 void ResponseParser::Start() {
   http_parser_init(&parser_, HTTP_RESPONSE);
   parser_.data = this;
   state_ = State::kIncomplete;
+  part_ = Part::kStatusLine;
+  line_.clear();
   headers_.clear();
   header_name_.clear();
   header_value_.clear();
@@ -17,15 +50,57 @@
 }
 
 ResponseParser::State ResponseParser::Parse(std::string_view& data) {
-  const std::size_t parsed = http_parser_execute(&parser_, &Settings(), data.data(), data.size());
-  if (state_ != State::kComplete &&
-      (parsed != data.size() || parser_.upgrade != 0U || HTTP_PARSER_ERRNO(&parser_) != HPE_OK)) {
-    state_ = State::kFailed;
+  while (!data.empty() && state_ == State::kIncomplete) {
+    const std::string_view piece = FirstPiece(data);
+    const std::size_t parsed = CheckPiece(piece) ? Execute(piece) : 0;
+    data.remove_prefix(parsed);
+    if (state_ == State::kIncomplete && parsed != piece.size()) {
+      state_ = State::kFailed;
+    }
   }
-  data.remove_prefix(parsed);
   return state_;
 }
 
+std::string_view ResponseParser::FirstPiece(std::string_view data) const {
+  const std::size_t line_end = part_ == Part::kBody ? std::string_view::npos : data.find('\n');
+  return line_end == std::string_view::npos ? data : data.substr(0, line_end + 1);
+}
+
+bool ResponseParser::CheckPiece(std::string_view piece) {
+  switch (part_) {
+    case Part::kStatusLine:
+      return CheckStatusLine(piece);
+    case Part::kHeaders:
+    case Part::kBody:
+      return true;
+  }
+  return false;
+}
+
+bool ResponseParser::CheckStatusLine(std::string_view piece) {
+  line_ += piece;
+  if (!piece.ends_with('\n')) {
+    return true;
+  }
+  const std::string line = std::exchange(line_, {});
+  if (IsEmptyLine(line)) {
+    return true;
+  }
+  part_ = Part::kHeaders;
+  return IsStatusLine(line);
+}
+
+std::size_t ResponseParser::Execute(std::string_view piece) {
+  const std::size_t parsed = http_parser_execute(&parser_, &Settings(), piece.data(), piece.size());
+  if (state_ == State::kIncomplete && HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED) {
+    // The end of an informational response.
+    http_parser_pause(&parser_, 0);
+    part_ = Part::kStatusLine;
+  }
+  const bool succeeded = state_ == State::kComplete || HTTP_PARSER_ERRNO(&parser_) == HPE_OK;
+  return succeeded && parser_.upgrade == 0U ? parsed : 0;
+}
+
 ResponseParser::State ResponseParser::ParseEnd() {
   if (state_ == State::kIncomplete &&
       (http_parser_execute(&parser_, &Settings(), nullptr, 0) != 0 || state_ != State::kComplete)) {
@@ -87,6 +162,7 @@
   if (in_header_value_) {
     StoreHeader();
   }
+  part_ = Part::kBody;
   if (IsInformational()) {
     headers_.clear();
     return kReadBody;
@@ -103,13 +179,12 @@
 }
 
 int ResponseParser::OnMessageComplete() {
-  if (IsInformational()) {
-    return 0;
-  }
-  state_ = State::kComplete;
-  keep_alive_ = http_should_keep_alive(&parser_) != 0;
   // Stop the parser at the end of the message: the bytes after it are not part of this response.
   http_parser_pause(&parser_, 1);
+  if (!IsInformational()) {
+    state_ = State::kComplete;
+    keep_alive_ = http_should_keep_alive(&parser_) != 0;
+  }
   return 0;
 }
 
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -13,6 +13,9 @@
 
 /// @brief Parses the responses on one connection of the HTTP client. Informational responses are
 /// skipped.
+///
+/// http_parser accepts more than HTTP/1.1 allows, and Debian builds it without its strict checks.
+/// What it does not check is checked here, line by line, before it receives the line's end.
 class ResponseParser {
  public:
   /// @brief What follows the head of a response.
@@ -55,9 +58,19 @@
   bool keep_alive() const { return keep_alive_; }
 
  private:
+  /// What the next bytes belong to.
+  enum class Part : std::uint8_t { kStatusLine, kHeaders, kBody };
+
   static const http_parser_settings& Settings();
   static ResponseParser& FromParser(http_parser* parser);
   bool IsInformational() const;
+  /// @brief The first bytes of `data` that can be checked and parsed together.
+  std::string_view FirstPiece(std::string_view data) const;
+  bool CheckPiece(std::string_view piece);
+  bool CheckStatusLine(std::string_view piece);
+  /// @brief Returns the number of parsed bytes: 0 after a failure, and fewer than all only at the
+  /// end of the response.
+  std::size_t Execute(std::string_view piece);
   void StoreHeader();
   int OnHeadersComplete();
   int OnMessageComplete();
@@ -65,6 +78,9 @@
   Delegate& delegate_;
   http_parser parser_{};
   State state_ = State::kIncomplete;
+  Part part_ = Part::kStatusLine;
+  /// The received part of the status line.
+  std::string line_;
   bool keep_alive_ = false;
   Headers headers_;
   std::string header_name_;
--- /dev/null
+++ b/src/net/response_parser_test.cc
@@ -0,0 +1,91 @@
+#include "src/net/response_parser.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace acaciaspring::net {
+
+namespace {
+
+const std::string kFramedBody = "Content-Length: 4\r\n\r\nfull";
+
+/// @brief Records the final response and, in `received`, everything that reaches the client.
+struct Recorder : ResponseParser::Delegate {
+  ResponseParser::AfterHead OnResponseHead(int status, const Headers& headers) override {
+    received = std::to_string(status) + " ";
+    for (const auto& [name, value] : headers) {
+      received += name + "=" + value + " ";
+    }
+    return ResponseParser::AfterHead::kBody;
+  }
+  bool OnResponseBody(std::string_view data) override {
+    body += data;
+    return true;
+  }
+  std::string received;
+  std::string body;
+};
+
+/// @brief Describes what becomes of `bytes` before an orderly end of the connection: status and
+/// body of a complete response, or "broken". They are parsed in pieces of `step` bytes.
+std::string Read(const std::string& bytes, std::size_t step) {
+  Recorder recorder;
+  ResponseParser parser(recorder);
+  parser.Start();
+  auto state = ResponseParser::State::kIncomplete;
+  for (std::size_t i = 0; i < bytes.size() && state == ResponseParser::State::kIncomplete;
+       i += step) {
+    std::string_view piece = std::string_view(bytes).substr(i, step);
+    state = parser.Parse(piece);
+  }
+  if (state == ResponseParser::State::kIncomplete) {
+    state = parser.ParseEnd();
+  }
+  if (state != ResponseParser::State::kComplete) {
+    return "broken";
+  }
+  return recorder.received.substr(0, recorder.received.find(' ') + 1) + recorder.body;
+}
+
+void Check(const std::string& bytes, const std::string& expected) {
+  for (const std::size_t step : {bytes.size(), std::size_t{1}, std::size_t{3}}) {
+    BOOST_TEST(Read(bytes, step) == expected, bytes << "\nin pieces of " << step);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(response_parser)
+
+// Guards against an answer whose status or version does not exist, and against one that is refused
+// for a deviation that HTTP/1.1 lets recipients accept.
+BOOST_AUTO_TEST_CASE(status_line_has_a_version_and_a_status_of_http) {
+  for (const char* status : {"000", "001", "099", "600", "999", "1000", "0200", "00200", "2", "20",
+                             "-20", "+200", "2x0", "200x", "2 00", ""}) {
+    Check("HTTP/1.1 " + std::string(status) + " Text\r\n" + kFramedBody, "broken");
+    Check("HTTP/1.1 " + std::string(status) + "\r\n" + kFramedBody, "broken");
+    Check(
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 " + std::string(status) + " Text\r\n" + kFramedBody,
+        "broken");
+  }
+  for (const char* version : {"HTTP/0.9", "HTTP/2.0", "HTTP/11.1", "HTTP/1.10", "HTTP/1.",
+                              "http/1.1", "HTTPS/1.1", "ICY"}) {
+    Check(version + (" 200 OK\r\n" + kFramedBody), "broken");
+  }
+  for (const char* status : {"200", "201", "299", "400", "451", "500", "599"}) {
+    const std::string expected = std::string(status) + " full";
+    for (const char* version : {"HTTP/1.0", "HTTP/1.1", "HTTP/1.9"}) {
+      for (const char* reason : {" OK", "", " ", " 404 of 5", " \xc3\xa4\tb", "  OK"}) {
+        Check(version + (" " + std::string(status) + reason + "\r\n" + kFramedBody), expected);
+      }
+    }
+    Check("HTTP/1.1  " + std::string(status) + " OK\r\n" + kFramedBody, expected);
+    Check("\r\n\r\nHTTP/1.1 " + std::string(status) + " OK\r\n" + kFramedBody, expected);
+    Check("HTTP/1.1 " + std::string(status) + " OK\nContent-Length: 4\n\nfull", expected);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace acaciaspring::net
