Refuse answers with a carriage return within a line of their head

Callers saw a part of the head as the body of a whole answer: behind the line '\rX-Bad: 1', a name that begins with a control byte, the body began with '-Bad: 1', although the head had a length and went on.

Cause: without its strict checks, http_parser takes any byte behind a carriage return for the line feed, so that a carriage return at the beginning of a line ended the head, and one in the status line or before a value ended the line.

Change: ResponseParser looks at each byte of the head before http_parser does: only a line feed may follow a carriage return, and there is no NUL, which RFC 9110 (5.5) forbids along with it.

--- a/src/gateway/broken_head_test.cc
+++ b/src/gateway/broken_head_test.cc
@@ -216,6 +216,16 @@
   Run(tested);
 }
 
+// Guards against a caller that receives a part of the head as the body, because a carriage return
+// within a line was taken for the end of the head.
+BOOST_AUTO_TEST_CASE(carriage_return_within_a_line_makes_no_answer) {
+  const std::string start = "HTTP/1.1 200 OK\r\nx-id: ID\r\n";
+  Run({Broken(start + kLength + "\rX-Bad: 1\r\n"), Broken(start + "\rX-Bad: 1\r\n" + kLength),
+       Broken(start + "X-Bad:\r1\r\n" + kLength),
+       Broken("HTTP/1.1 200 OK\rX-Bad: 1\r\nx-id: ID\r\n" + kLength),
+       Sound("HTTP/1.1 200 \xc3\xa4\tb\nX: \xc3\xa4\tb\nx-id: ID\n" + kLength, 200)});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::gateway
--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -43,6 +43,7 @@
   state_ = State::kIncomplete;
   part_ = Part::kStatusLine;
   line_.clear();
+  after_carriage_return_ = false;
   headers_.clear();
   header_name_.clear();
   header_value_.clear();
@@ -69,14 +70,22 @@
 bool ResponseParser::CheckPiece(std::string_view piece) {
   switch (part_) {
     case Part::kStatusLine:
-      return CheckStatusLine(piece);
+      return CheckLineBytes(piece) && CheckStatusLine(piece);
     case Part::kHeaders:
+      return CheckLineBytes(piece);
     case Part::kBody:
       return true;
   }
   return false;
 }
 
+bool ResponseParser::CheckLineBytes(std::string_view piece) {
+  return std::all_of(piece.begin(), piece.end(), [this](char c) {
+    const bool was_carriage_return = std::exchange(after_carriage_return_, c == '\r');
+    return c == '\n' || (c != '\0' && !was_carriage_return);
+  });
+}
+
 bool ResponseParser::CheckStatusLine(std::string_view piece) {
   line_ += piece;
   if (!piece.ends_with('\n')) {
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -67,6 +67,7 @@
   /// @brief The first bytes of `data` that can be checked and parsed together.
   std::string_view FirstPiece(std::string_view data) const;
   bool CheckPiece(std::string_view piece);
+  bool CheckLineBytes(std::string_view piece);
   bool CheckStatusLine(std::string_view piece);
   /// @brief Returns the number of parsed bytes: 0 after a failure, and fewer than all only at the
   /// end of the response.
@@ -81,6 +82,8 @@
   Part part_ = Part::kStatusLine;
   /// The received part of the status line.
   std::string line_;
+  /// The last byte of the line being read is a carriage return.
+  bool after_carriage_return_ = false;
   bool keep_alive_ = false;
   Headers headers_;
   std::string header_name_;
--- a/src/net/response_parser_test.cc
+++ b/src/net/response_parser_test.cc
@@ -121,6 +121,27 @@
   }
 }
 
+// Guards against a head that ends at a carriage return within a line, so that the rest of the line
+// becomes the body. A carriage return or a NUL makes a line invalid, wherever it stands.
+BOOST_AUTO_TEST_CASE(lines_hold_no_carriage_return_or_nul) {
+  const std::string start = "HTTP/1.1 200 OK\r\n";
+  const std::string nul(1, '\0');
+  for (const std::string& line : std::vector<std::string>{
+           "\rX: 1", "\rX", "\r", "X\r: 1", "X:\r1", "X: \r1", "X: 1\r2", "X: 1\r", "X:" + nul,
+           "X: " + nul, "X: 1" + nul, "X" + nul + ": 1", nul}) {
+    Check(start + line + "\r\n" + kFramedBody, "broken");
+    Check(start + "Content-Length: 4\r\n" + line + "\r\n\r\nfull", "broken");
+    Check("HTTP/1.1 103 Hints\r\n" + line + "\r\n\r\n" + start + kFramedBody, "broken");
+  }
+  for (const std::string& line : std::vector<std::string>{
+           "HTTP/1.1 200 OK\rX: 1", "HTTP/1.1 200 O\rK", "HTTP/1.1 200\r OK", "HTTP/1.1 200 OK\r",
+           "HTTP/1.1 200 O" + nul + "K", "HTTP/1.1 200 " + nul, "\rHTTP/1.1 200 OK"}) {
+    Check(line + "\r\n" + kFramedBody, "broken");
+  }
+  // Other control bytes in a value need no rejection (RFC 9110, 5.5).
+  Check(start + "X: \x01\r\n" + kFramedBody, "200 full");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
