Refuse chunks that do not end where their sizes say

Callers saw a body as whole whose chunks did not fit their sizes: '4' followed by 'fullXY0' was read as 'full' and the end, and of a size '4 7' the second number was ignored.

Cause: without its strict checks, http_parser takes any two bytes behind the data of a chunk for the line break, any byte behind a carriage return for the line feed, and anything behind a blank in the line of the size for an extension.

Change: ResponseParser follows the chunks. The data ends with CR LF, and a size is followed by blanks and an extension at most (RFC 9112, 7.1). Lines of sizes and trailers get the check of bytes that the head has. Extensions, padded sizes and trailers pass as before.

--- a/src/gateway/broken_head_test.cc
+++ b/src/gateway/broken_head_test.cc
@@ -226,6 +226,15 @@
        Sound("HTTP/1.1 200 \xc3\xa4\tb\nX: \xc3\xa4\tb\nx-id: ID\n" + kLength, 200)});
 }
 
+// Guards against a caller that receives chunks of the wrong size as a whole body.
+BOOST_AUTO_TEST_CASE(chunk_of_the_wrong_size_makes_no_answer) {
+  const std::string start = "HTTP/1.1 404 Text\r\nx-id: ID\r\nTransfer-Encoding: chunked\r\n\r\n";
+  Run({{.bytes = start + "4\r\nfull..0\r\n\r\n"},
+       {.bytes = start + "4 7\r\nfull\r\n0\r\n\r\n"},
+       {.bytes = start + "4\r\nfull\r\n0\r\n\rX"},
+       {.bytes = start + "4;a\r\nfull\r\n0\r\nX: 1\r\n\r\n", .status = 404, .body = "full"}});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -148,6 +148,8 @@
       "HTTP/1.1 500 Error\r\nx-id: a\r\nContent-Length: 999999999\r\n\r\n",
       "HTTP/1.1 200 OK\r\nx-id: a\r\n\r\n",
       "HTTP/1.1 200 OK\r\nx-id: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n",
+      "HTTP/1.1 200 OK\r\nx-id: a\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+      "HTTP/1.1 200 OK\r\nx-id: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ",
   };
   for (const std::string& start : starts) {
     for (const RequestKind kind : {RequestKind::kAtMostOnce, RequestKind::kStream}) {
--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -35,6 +35,17 @@
          IsDigit(status[1]) && IsDigit(status[2]) && (line.starts_with(' ') || IsEmptyLine(line));
 }
 
+/// @brief True for the size of a chunk, in hexadecimal, with or without extensions.
+bool IsChunkSizeLine(std::string_view line) {
+  const std::size_t digits = line.find_first_not_of("0123456789abcdefABCDEF");
+  if (digits == 0 || digits == std::string_view::npos) {
+    return false;
+  }
+  line.remove_prefix(digits);
+  line.remove_prefix(std::min(line.find_first_not_of(" \t"), line.size()));
+  return line.starts_with(';') || IsEmptyLine(line);
+}
+
 }  // namespace
 
 void ResponseParser::Start() {
@@ -63,7 +74,13 @@
 }
 
 std::string_view ResponseParser::FirstPiece(std::string_view data) const {
-  const std::size_t line_end = part_ == Part::kBody ? std::string_view::npos : data.find('\n');
+  if (part_ == Part::kBody) {
+    return data;
+  }
+  if (part_ == Part::kChunkData) {
+    return data.substr(0, chunk_left_);
+  }
+  const std::size_t line_end = data.find('\n');
   return line_end == std::string_view::npos ? data : data.substr(0, line_end + 1);
 }
 
@@ -75,6 +92,14 @@
       return CheckLineBytes(piece);
     case Part::kBody:
       return true;
+    case Part::kChunkSize:
+      return CheckLineBytes(piece) && CheckChunkSize(piece);
+    case Part::kChunkData:
+      chunk_left_ -= piece.size();
+      part_ = chunk_left_ == 0 ? Part::kChunkEnd : Part::kChunkData;
+      return true;
+    case Part::kChunkEnd:
+      return CheckChunkEnd(piece);
   }
   return false;
 }
@@ -99,6 +124,22 @@
   return IsStatusLine(line);
 }
 
+bool ResponseParser::CheckChunkSize(std::string_view piece) {
+  line_ += piece;
+  return !piece.ends_with('\n') || IsChunkSizeLine(std::exchange(line_, {}));
+}
+
+bool ResponseParser::CheckChunkEnd(std::string_view piece) {
+  constexpr std::string_view kLineBreak = "\r\n";
+  line_ += piece;
+  if (line_ == kLineBreak) {
+    line_.clear();
+    part_ = Part::kChunkSize;
+    return true;
+  }
+  return kLineBreak.starts_with(line_);
+}
+
 std::size_t ResponseParser::Execute(std::string_view piece) {
   const std::size_t parsed = http_parser_execute(&parser_, &Settings(), piece.data(), piece.size());
   if (state_ == State::kIncomplete && HTTP_PARSER_ERRNO(&parser_) == HPE_PAUSED) {
@@ -150,6 +191,10 @@
     callbacks.on_body = [](http_parser* parser, const char* data, size_t size) {
       return FromParser(parser).delegate_.OnResponseBody(std::string_view(data, size)) ? 0 : 1;
     };
+    callbacks.on_chunk_header = [](http_parser* parser) {
+      FromParser(parser).OnChunkHeader();
+      return 0;
+    };
     callbacks.on_message_complete = [](http_parser* parser) {
       return FromParser(parser).OnMessageComplete();
     };
@@ -176,7 +221,7 @@
   if (in_header_value_) {
     StoreHeader();
   }
-  part_ = Part::kBody;
+  part_ = (parser_.flags & F_CHUNKED) != 0 ? Part::kChunkSize : Part::kBody;
   if (IsInformational()) {
     headers_.clear();
     return kReadBody;
@@ -192,6 +237,11 @@
   return kStop;
 }
 
+void ResponseParser::OnChunkHeader() {
+  chunk_left_ = parser_.content_length;
+  part_ = chunk_left_ == 0 ? Part::kHeaders : Part::kChunkData;
+}
+
 int ResponseParser::OnMessageComplete() {
   // Stop the parser at the end of the message: the bytes after it are not part of this response.
   http_parser_pause(&parser_, 1);
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -59,31 +59,48 @@
 
  private:
   /// What the next bytes belong to.
-  enum class Part : std::uint8_t { kStatusLine, kHeaders, kBody };
+  enum class Part : std::uint8_t {
+    kStatusLine,
+    /// Header lines of a head, or trailers.
+    kHeaders,
+    /// A body that is not chunked.
+    kBody,
+    kChunkSize,
+    kChunkData,
+    /// The line break behind the data of a chunk.
+    kChunkEnd,
+  };
 
   static const http_parser_settings& Settings();
   static ResponseParser& FromParser(http_parser* parser);
   bool IsInformational() const;
   /// @brief The first bytes of `data` that can be checked and parsed together.
   std::string_view FirstPiece(std::string_view data) const;
+  /// @brief Returns false if the piece is not valid where it stands. Otherwise advances to the part
+  /// that the next piece belongs to, unless only the parser can tell.
   bool CheckPiece(std::string_view piece);
   bool CheckLineBytes(std::string_view piece);
   bool CheckStatusLine(std::string_view piece);
+  bool CheckChunkSize(std::string_view piece);
+  bool CheckChunkEnd(std::string_view piece);
   /// @brief Returns the number of parsed bytes: 0 after a failure, and fewer than all only at the
   /// end of the response.
   std::size_t Execute(std::string_view piece);
   void StoreHeader();
   int OnHeadersComplete();
+  void OnChunkHeader();
   int OnMessageComplete();
 
   Delegate& delegate_;
   http_parser parser_{};
   State state_ = State::kIncomplete;
   Part part_ = Part::kStatusLine;
-  /// The received part of the status line.
+  /// The received part of the line being read; not used for header lines.
   std::string line_;
   /// The last byte of the line being read is a carriage return.
   bool after_carriage_return_ = false;
+  /// Bytes that are missing of the chunk being read.
+  std::uint64_t chunk_left_ = 0;
   bool keep_alive_ = false;
   Headers headers_;
   std::string header_name_;
--- a/src/net/response_parser_test.cc
+++ b/src/net/response_parser_test.cc
@@ -142,6 +142,42 @@
   Check(start + "X: \x01\r\n" + kFramedBody, "200 full");
 }
 
+// Guards against a body whose chunks are not where their sizes say.
+BOOST_AUTO_TEST_CASE(chunks_end_where_their_sizes_say) {
+  const std::string start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char* body : {"4\r\nfullXY0\r\n\r\n",
+                           "4\r\nfull\r0\r\n\r\n",
+                           "4\r\nfull\n0\r\n\r\n",
+                           "4\r\nfullx\r\n0\r\n\r\n",
+                           "4\r\nful\r\n0\r\n\r\n",
+                           "4\r\nfull\r\n0\r\n\rX",
+                           "4\r\nfull\r\n0\r\n\rX: 1\r\n\r\n",
+                           "4\r\nfull\r\n0\rX\r\n",
+                           "4\rXfull\r\n0\r\n\r\n",
+                           "4\nfull\r\n0\r\n\r\n",
+                           "4 7\r\nfull\r\n0\r\n\r\n",
+                           "4x\r\nfull\r\n0\r\n\r\n",
+                           " 4\r\nfull\r\n0\r\n\r\n",
+                           "-4\r\nfull\r\n0\r\n\r\n",
+                           "0x4\r\nfull\r\n0\r\n\r\n",
+                           "\r\nfull\r\n0\r\n\r\n",
+
+                           "4;a\rb\r\nfull\r\n0\r\n\r\n",
+                           "4\r\nfull\r\n0 1\r\n\r\n",
+
+                           "4\r\nfull\r\n\r\n0\r\n\r\n",
+                           "10000000000000004\r\nfull\r\n0\r\n\r\n"}) {
+    Check(start + body, "broken");
+  }
+  for (const char* body :
+       {"4\r\nfull\r\n0\r\n\r\n", "0004\r\nfull\r\n000\r\n\r\n", "1\r\nf\r\n3\r\null\r\n0\r\n\r\n",
+        "4;a\r\nfull\r\n0;b\r\n\r\n", "4 ; a = \"b\"\r\nfull\r\n0\r\n\r\n",
+        "4  \r\nfull\r\n0 \r\n\r\n", "4\r\nfull\r\n0\r\nX: 1\r\nY:\r\n\r\n"}) {
+    Check(start + body, "200 full");
+  }
+  Check(start + "A\r\n\r\n0\r\n\r\n\r\nX\r\n2\r\n\r\n\r\n0\r\n\r\n", "200 \r\n0\r\n\r\n\r\nX\r\n");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
