End responses without content with their head

Callers saw the body of an informational response as the beginning of the final one: behind a 100 with a length of 4 and 'full', the body of the final response began with 'full'. And callers waited for a body that never comes behind a 304 with the length of the document, until the answer was broken off, although HTTP/1.1 asks a server for that length.

Cause: http_parser reads a body for any status if the head has a length or chunks, unless the callback for the head tells it not to. The callback did so for HEAD only.

Change: informational responses, 204 and 304 end with their head (RFC 9112, 6.3). Bytes of a forbidden body are then no response, so the answer is broken. A 204 that announces a body ends its connection, since the body would be taken for the next response.

--- a/src/gateway/broken_head_test.cc
+++ b/src/gateway/broken_head_test.cc
@@ -235,6 +235,18 @@
        {.bytes = start + "4;a\r\nfull\r\n0\r\nX: 1\r\n\r\n", .status = 404, .body = "full"}});
 }
 
+// Guards against a caller that receives the body of an informational response as the beginning of
+// the final one.
+BOOST_AUTO_TEST_CASE(body_of_an_informational_response_makes_no_answer) {
+  const std::string last = "HTTP/1.1 404 Text\r\nx-id: ID\r\n" + kLength;
+  const std::string first = "HTTP/1.1 100 Continue\r\n";
+  Run({Broken(first + "Content-Length: 4\r\n\r\nfull" + last),
+       Broken(first + "Transfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n" + last),
+       Sound(first + "\r\n" + last, 404),
+       Sound(first + "Content-Length: 0\r\n\r\n" + last, 404),
+       {.bytes = "HTTP/1.1 304 Text\r\nx-id: ID\r\nContent-Length: 4\r\n\r\n", .status = 304}});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::gateway
--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr unsigned kNoContent = 204;
+
 bool IsDigit(char c) {
   return c >= '0' && c <= '9';
 }
@@ -207,6 +209,17 @@
   return parser_.status_code >= 100 && parser_.status_code < 200;
 }
 
+bool ResponseParser::HasNoContent() const {
+  constexpr unsigned kNotModified = 304;
+  return IsInformational() || parser_.status_code == kNoContent ||
+         parser_.status_code == kNotModified;
+}
+
+bool ResponseParser::AnnouncesForbiddenContent() const {
+  const bool has_length = (parser_.flags & F_CONTENTLENGTH) != 0 && parser_.content_length > 0;
+  return parser_.status_code == kNoContent && (has_length || (parser_.flags & F_CHUNKED) != 0);
+}
+
 void ResponseParser::StoreHeader() {
   headers_.emplace_back(LowerCase(header_name_), std::move(header_value_));
   header_name_.clear();
@@ -224,11 +237,11 @@
   part_ = (parser_.flags & F_CHUNKED) != 0 ? Part::kChunkSize : Part::kBody;
   if (IsInformational()) {
     headers_.clear();
-    return kReadBody;
+    return kNoBody;
   }
   switch (delegate_.OnResponseHead(static_cast<int>(parser_.status_code), headers_)) {
     case AfterHead::kBody:
-      return kReadBody;
+      return HasNoContent() ? kNoBody : kReadBody;
     case AfterHead::kEnd:
       return kNoBody;
     case AfterHead::kStop:
@@ -247,7 +260,7 @@
   http_parser_pause(&parser_, 1);
   if (!IsInformational()) {
     state_ = State::kComplete;
-    keep_alive_ = http_should_keep_alive(&parser_) != 0;
+    keep_alive_ = http_should_keep_alive(&parser_) != 0 && !AnnouncesForbiddenContent();
   }
   return 0;
 }
--- a/src/net/response_parser.h
+++ b/src/net/response_parser.h
@@ -74,6 +74,10 @@
   static const http_parser_settings& Settings();
   static ResponseParser& FromParser(http_parser* parser);
   bool IsInformational() const;
+  /// @brief True if the response ends with its head, whatever its headers say (RFC 9112, 6.3).
+  bool HasNoContent() const;
+  /// @brief True if the server may send a body that the response cannot have.
+  bool AnnouncesForbiddenContent() const;
   /// @brief The first bytes of `data` that can be checked and parsed together.
   std::string_view FirstPiece(std::string_view data) const;
   /// @brief Returns false if the piece is not valid where it stands. Otherwise advances to the part
--- a/src/net/response_parser_test.cc
+++ b/src/net/response_parser_test.cc
@@ -178,6 +178,45 @@
   Check(start + "A\r\n\r\n0\r\n\r\n\r\nX\r\n2\r\n\r\n\r\n0\r\n\r\n", "200 \r\n0\r\n\r\n\r\nX\r\n");
 }
 
+// Guards against a body of an informational response that becomes part of the final one, and
+// against a wait for a body that never comes (RFC 9112, 6.3).
+BOOST_AUTO_TEST_CASE(responses_without_content_end_with_their_head) {
+  const std::string final_response = "HTTP/1.1 200 OK\r\n" + kFramedBody;
+  for (const char* status : {"100 Continue", "102 Processing", "103 Hints", "199 Other"}) {
+    const std::string line = "HTTP/1.1 " + std::string(status) + "\r\n";
+    Check(line + "\r\n" + final_response, "200 full");
+    Check(line + "X: 1\r\n\r\n" + line + "\r\n" + final_response, "200 full");
+    Check(line + "Content-Length: 0\r\n\r\n" + final_response, "200 full");
+    Check(line + "Content-Length: 9\r\n\r\n" + final_response, "200 full");
+    Check(line + "Content-Length: 4\r\n\r\nbody" + final_response, "broken");
+    Check(line + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n" + final_response,
+          "broken");
+  }
+  for (const std::string status : {"204", "304"}) {
+    const std::string line = "HTTP/1.1 " + status + " Text\r\n";
+    Check(line + "\r\n", status + " ");
+    Check(line + "Content-Length: 0\r\n\r\n", status + " ");
+    Check(line + "Content-Length: 4\r\n\r\n", status + " ");
+    Check(line + "Transfer-Encoding: chunked\r\n\r\n", status + " ");
+  }
+  // The body of a response that has none would be taken for the next response.
+  const std::vector<std::pair<std::string, bool>> heads = {
+      {"204 Text\r\n\r\n", true},
+      {"204 Text\r\nContent-Length: 0\r\n\r\n", true},
+      {"204 Text\r\nContent-Length: 4\r\n\r\n", false},
+      {"204 Text\r\nTransfer-Encoding: chunked\r\n\r\n", false},
+      {"304 Text\r\nContent-Length: 4\r\n\r\n", true}};
+  for (const auto& [head, keep_alive] : heads) {
+    Recorder recorder;
+    ResponseParser parser(recorder);
+    parser.Start();
+    const std::string bytes = "HTTP/1.1 " + head;
+    std::string_view data = bytes;
+    BOOST_TEST((parser.Parse(data) == ResponseParser::State::kComplete), head);
+    BOOST_TEST(parser.keep_alive() == keep_alive, head);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
