Refuse a switch of protocols

Callers saw what came behind a 101 as the answer, if the 101 had no Upgrade header. No request of ours asks for another protocol (the header is not forwarded), so a server must not send it, and what follows is not HTTP (RFC 9110, 7.8). With the header the response was refused already.

Change: a 101 ends the parsing in each case.

--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -235,6 +235,11 @@
     StoreHeader();
   }
   part_ = (parser_.flags & F_CHUNKED) != 0 ? Part::kChunkSize : Part::kBody;
+  constexpr unsigned kSwitchingProtocols = 101;
+  if (parser_.status_code == kSwitchingProtocols) {
+    // No request asks for another protocol, and what follows would not be HTTP.
+    return kStop;
+  }
   if (IsInformational()) {
     headers_.clear();
     return kNoBody;
--- a/src/net/response_parser_test.cc
+++ b/src/net/response_parser_test.cc
@@ -217,6 +217,16 @@
   }
 }
 
+// Guards against bytes of another protocol that are read as a response. No request of ours asks for
+// one.
+BOOST_AUTO_TEST_CASE(switch_of_protocols_is_no_response) {
+  const std::string final_response = "HTTP/1.1 200 OK\r\n" + kFramedBody;
+  for (const char* lines : {"", "Upgrade: x\r\n", "Connection: upgrade\r\nUpgrade: x\r\n"}) {
+    Check("HTTP/1.1 101 Switching\r\n" + (lines + ("\r\n" + final_response)), "broken");
+  }
+  Check("HTTP/1.1 200 OK\r\nConnection: upgrade\r\nUpgrade: x\r\n" + kFramedBody, "200 full");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace acaciaspring::net
