Check the answers of peers like those of endpoints

Callers at a daemon that passes turns on to their owner got what the owner sent, whatever its head: during an upgrade the owner may be a daemon that still accepts status 000 from an endpoint. A response that began with data reached no caller, and its end left the caller without an answer; a second head within a response was written as well.

Cause: TurnRouter passed the messages of the owner on as they came. Only endpoints' bytes went through ResponseParser.

Change: the head must be one that a response can have (net::IsResponseHead: status from 200 to 599, names that are tokens, values without line breaks or NUL), it comes first and once, and a refusal has the status of an error. Otherwise the turn is broken off: the owner is told to cancel it, the caller gets 502 or, within a response, the end of its connection, and invalid_peer_response names the fault in the log.

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -114,6 +114,9 @@
 using Headers = std::vector<std::pair<std::string, std::string>>;
 /// @brief First value of the header `name`, or empty. `name` must be in lower case.
 std::string_view FindHeader(const Headers& headers, std::string_view name);
+/// @brief True if a final response can have the status and the headers: a status from 200 to 599,
+/// names that are tokens, and values that fit on a line.
+bool IsResponseHead(int status, const Headers& headers);
 
 /// @brief Number of a connection that a server has accepted, unique within the server.
 using ConnectionId = StrongNumber<struct ConnectionIdTag>;
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -256,42 +256,15 @@
                  [](PeerPermitRequest&) {},
                  [](PeerPermitGrant&) {},
                  [&](TurnRequest& request) { OnTurnRequest(daemon, std::move(request), reply); },
-                 [&](TurnHead& head) {
-                   if (SubmittedTurn* turn = FindRemote(head.exchange, daemon)) {
-                     turn->response_started = true;
-                     turn->sink->Head(head.status, head.headers);
-                   }
-                 },
-                 [&](TurnData& data) {
-                   if (SubmittedTurn* turn = FindRemote(data.exchange, daemon)) {
-                     turn->sink->Data(data.data);
-                   }
-                 },
-                 [&](TurnEnd& end) {
-                   if (SubmittedTurn* turn = FindRemote(end.exchange, daemon)) {
-                     const ResponseSinkPtr sink = turn->sink;
-                     submitted_.erase(end.exchange);
-                     sink->End();
-                   }
-                 },
+                 [&](TurnHead& head) { OnTurnHead(daemon, head); },
+                 [&](TurnData& data) { OnTurnData(daemon, data); },
+                 [&](TurnEnd& end) { OnTurnEnd(daemon, end); },
                  [&](TurnAborted& aborted) {
                    if (FindRemote(aborted.exchange, daemon) != nullptr) {
                      FailWith(aborted.exchange, {.status = 502, .reason = aborted.reason});
                    }
                  },
-                 [&](TurnRejected& rejected) {
-                   SubmittedTurn* turn = FindRemote(rejected.exchange, daemon);
-                   if (turn == nullptr) {
-                     return;
-                   }
-                   if (rejected.not_owner && !turn->response_started) {
-                     ownership_.ForgetDaemon(daemon);
-                     turn->state = State::kWaiting;
-                     Dispatch(rejected.exchange);
-                     return;
-                   }
-                   FailWith(rejected.exchange, rejected.error);
-                 },
+                 [&](TurnRejected& rejected) { OnTurnRejected(daemon, rejected); },
                  [&](TurnCancelled& cancelled) {
                    const auto found =
                        peer_turns_.find({.requester = daemon, .exchange = cancelled.exchange});
@@ -308,6 +281,82 @@
       message);
 }
 
+void TurnRouter::BreakOff(ExchangeId id, std::string_view fault) {
+  const SubmittedTurn& turn = submitted_.at(id);
+  context_.events.Write("invalid_peer_response", {{"id", turn.request.id.value()},
+                                                  {"peer", turn.owner.value()},
+                                                  {"fault", std::string(fault)}});
+  if (PeerLinks* links = links_(); links != nullptr) {
+    links->Send(turn.owner, TurnCancelled{.exchange = id});
+  }
+  FailWith(id, MakeHttpError(Unknown{.reason = UnknownReason::kConnectionLost}));
+}
+
+void TurnRouter::OnTurnHead(const DaemonId& daemon, const TurnHead& head) {
+  SubmittedTurn* turn = FindRemote(head.exchange, daemon);
+  if (turn == nullptr) {
+    return;
+  }
+  if (turn->response_started) {
+    BreakOff(head.exchange, "second_head");
+    return;
+  }
+  // A daemon of an older version may pass on more than this one accepts from an endpoint.
+  if (!net::IsResponseHead(head.status, head.headers)) {
+    BreakOff(head.exchange, "invalid_head");
+    return;
+  }
+  turn->response_started = true;
+  turn->sink->Head(head.status, head.headers);
+}
+
+void TurnRouter::OnTurnData(const DaemonId& daemon, const TurnData& data) {
+  SubmittedTurn* turn = FindRemote(data.exchange, daemon);
+  if (turn == nullptr) {
+    return;
+  }
+  // Malformed messages are dropped, so the head may be missing.
+  if (!turn->response_started) {
+    BreakOff(data.exchange, "data_before_head");
+    return;
+  }
+  turn->sink->Data(data.data);
+}
+
+void TurnRouter::OnTurnEnd(const DaemonId& daemon, const TurnEnd& end) {
+  SubmittedTurn* turn = FindRemote(end.exchange, daemon);
+  if (turn == nullptr) {
+    return;
+  }
+  if (!turn->response_started) {
+    BreakOff(end.exchange, "end_before_head");
+    return;
+  }
+  const ResponseSinkPtr sink = turn->sink;
+  submitted_.erase(end.exchange);
+  sink->End();
+}
+
+void TurnRouter::OnTurnRejected(const DaemonId& daemon, const TurnRejected& rejected) {
+  SubmittedTurn* turn = FindRemote(rejected.exchange, daemon);
+  if (turn == nullptr) {
+    return;
+  }
+  if (rejected.not_owner && !turn->response_started) {
+    ownership_.ForgetDaemon(daemon);
+    turn->state = State::kWaiting;
+    Dispatch(rejected.exchange);
+    return;
+  }
+  constexpr int kFirstErrorStatus = 400;
+  if (rejected.error.status < kFirstErrorStatus ||
+      !net::IsResponseHead(rejected.error.status, {})) {
+    BreakOff(rejected.exchange, "invalid_error");
+    return;
+  }
+  FailWith(rejected.exchange, rejected.error);
+}
+
 void TurnRouter::OnTurnRequest(const DaemonId& daemon,
                                TurnRequest request,
                                const ReplyFunction& reply) {
--- a/src/gateway/turn_router.h
+++ b/src/gateway/turn_router.h
@@ -60,6 +60,12 @@
   void HoldForOwner(ExchangeId id);
   void OnDeadline(ExchangeId id);
   void FailWith(ExchangeId id, const HttpError& error);
+  /// @brief Ends a turn whose owner sends no valid response.
+  void BreakOff(ExchangeId id, std::string_view fault);
+  void OnTurnHead(const DaemonId& daemon, const TurnHead& head);
+  void OnTurnData(const DaemonId& daemon, const TurnData& data);
+  void OnTurnEnd(const DaemonId& daemon, const TurnEnd& end);
+  void OnTurnRejected(const DaemonId& daemon, const TurnRejected& rejected);
   void OnTurnRequest(const DaemonId& daemon, TurnRequest request, const ReplyFunction& reply);
   void StartRun(const std::shared_ptr<TurnRun>& run);
   std::shared_ptr<TurnRun> MakeRun(std::shared_ptr<ledger::Partition> partition,
--- a/src/net/http_message.cc
+++ b/src/net/http_message.cc
@@ -78,6 +78,15 @@
   return found == headers.end() ? std::string_view() : std::string_view(found->second);
 }
 
+bool IsResponseHead(int status, const Headers& headers) {
+  constexpr std::string_view kNotInValues("\r\n\0", 3);
+  return status >= 200 && status <= 599 &&
+         std::all_of(headers.begin(), headers.end(), [&](const auto& header) {
+           return IsToken(header.first) &&
+                  header.second.find_first_of(kNotInValues) == std::string::npos;
+         });
+}
+
 std::string_view FindQueryParameter(const HttpRequest& request, std::string_view name) {
   std::string_view rest = request.query;
   while (!rest.empty()) {
