Break off a response when one of its messages is malformed

Callers at a daemon that passes turns on could get a response with a gap as a whole one: a message of the owner that cannot be decoded, such as one of another version, was dropped, and the rest went on. A malformed end left the caller waiting.

Cause: PeerLinks drops each malformed message, which is right for reports, but the messages of a response belong together.

Change: a malformed message of a response closes the connection, so that all turns that wait for answers on it are broken off, as at the loss of a connection. Which one has the gap can't be told. Other malformed messages are dropped as before.

Evidence: without the change peer_response/response_with_a_malformed_message_is_broken_off fails in 3 checks (the response with a gap ends as whole) and then waits for ever. It passes now.

--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -175,6 +175,9 @@
   if (auto message = Decode(payload)) {
     handlers_.on_message(daemon, std::move(*message),
                          [this, daemon](const PeerMessage& reply) { Send(daemon, reply); });
+  } else if (IsTurnResponse(payload)) {
+    // Nothing tells which response now has a gap, so all that use the connection are broken off.
+    outgoing_.at(daemon).connection->Close();
   }
 }
 
--- a/src/gateway/peer_messages.cc
+++ b/src/gateway/peer_messages.cc
@@ -1,6 +1,8 @@
 #include "src/gateway/peer_messages.h"
 
+#include <algorithm>
 #include <array>
+#include <type_traits>
 #include <utility>
 
 namespace acaciaspring::gateway {
@@ -19,6 +21,15 @@
 constexpr auto kDecoders =
     MakeDecoders(std::make_index_sequence<std::variant_size_v<PeerMessage>>());
 
+template <class Message, std::size_t kIndex = 0>
+constexpr std::size_t TypeOf() {
+  if constexpr (std::is_same_v<std::variant_alternative_t<kIndex, PeerMessage>, Message>) {
+    return kIndex;
+  } else {
+    return TypeOf<Message, kIndex + 1>();
+  }
+}
+
 }  // namespace
 
 std::string EncodePeerMessage(const PeerMessage& message) {
@@ -38,4 +49,11 @@
   return kDecoders[type](bytes.substr(1));
 }
 
+bool IsTurnResponse(std::string_view bytes) {
+  constexpr std::array kTypes = {TypeOf<TurnHead>(), TypeOf<TurnData>(), TypeOf<TurnEnd>(),
+                                 TypeOf<TurnAborted>(), TypeOf<TurnRejected>()};
+  return !bytes.empty() && std::find(kTypes.begin(), kTypes.end(),
+                                     static_cast<unsigned char>(bytes.front())) != kTypes.end();
+}
+
 }  // namespace acaciaspring::gateway
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -269,6 +269,9 @@
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError if the message is malformed.
 PeerMessage DecodePeerMessage(std::string_view bytes);
+/// @brief True if the bytes, which need not be a valid message, have the type of one that is part
+/// of the response to a turn.
+bool IsTurnResponse(std::string_view bytes);
 
 }  // namespace acaciaspring::gateway
 
--- a/src/gateway/peer_response_test.cc
+++ b/src/gateway/peer_response_test.cc
@@ -106,7 +106,10 @@
                    },
                .on_connected = [](const DaemonId&) {},
                .on_disconnected =
-                   [this](const DaemonId& daemon) { router.OnPeerDisconnected(daemon); },
+                   [this](const DaemonId& daemon) {
+                     ownership.ForgetDaemon(daemon);
+                     router.OnPeerDisconnected(daemon);
+                   },
                .on_exited = [](const Member&) {},
                .on_requester_disconnected = [](const DaemonId&) {}}),
         router(context, ownership, [this] { return &links; }) {}
@@ -191,6 +194,25 @@
   }
 }
 
+// Guards against a response without the part that could not be decoded, and against a caller that
+// waits for the end of one.
+BOOST_AUTO_TEST_CASE(response_with_a_malformed_message_is_broken_off) {
+  const TurnData data{.data = "data: o\n\n"};
+  const std::vector<PeerMessage> script = {TurnHead{.status = 200, .headers = {{"x", "1"}}}, data,
+                                           data, TurnEnd{}};
+  for (std::size_t i = 0; i < script.size(); ++i) {
+    owner.malformed = i;
+    const auto sink = Run(script);
+    BOOST_TEST(!sink->ended(), i);
+    BOOST_TEST(sink->data().size() == (i < 2 ? 0 : i - 1) * data.data.size(), i);
+  }
+  owner.malformed = 0;
+  BOOST_TEST(Run({TurnRejected{.error = {.status = 503, .reason = "r"}}})->status() == 502);
+  // The connection is opened again.
+  owner.malformed.reset();
+  BOOST_TEST(Run(script)->ended());
+}
+
 BOOST_AUTO_TEST_CASE(sound_answers_of_peers_reach_callers) {
   for (const int status : {200, 299, 404, 500, 599}) {
     const auto sink = Run({TurnHead{.status = static_cast<std::uint16_t>(status),
