Test resets within an upload for responses without a length

The tests stay: 108 combinations of head, size, bytes read, moment and end in http_response/reset_within_an_upload_interrupts_a_response_without_a_length, and three kinds of request in endpoint_call/reset_within_an_upload_is_not_complete. A response whose connection ends in order before a reset is complete, as before.

--- a/src/gateway/endpoint_call_test.cc
+++ b/src/gateway/endpoint_call_test.cc
@@ -4,6 +4,7 @@
 
 #include "src/gateway/test_headers.h"
 #include "src/net/http_test_support.h"
+#include "src/net/unread_upload_server.h"
 
 namespace acaciaspring::gateway {
 
@@ -116,6 +117,42 @@
   }
 }
 
+// Guards against the same when the endpoint answers a long request before it is sent.
+BOOST_AUTO_TEST_CASE(reset_within_an_upload_is_not_complete) {
+  constexpr std::size_t kMoreThanSocketBuffers = std::size_t{64} << 20;
+  for (const RequestKind kind :
+       {RequestKind::kAtMostOnce, RequestKind::kStream, RequestKind::kIdempotent}) {
+    for (const bool reset : {true, false}) {
+      net::UnreadUploadServer endpoint;
+      context.endpoints.SetEndpoints({{.id = EndpointId("e"),
+                                       .service = kService,
+                                       .address = endpoint.address(),
+                                       .slots = 1}});
+      outcome.reset();
+      head = false;
+      call = std::make_shared<EndpointCall>(
+          context,
+          CallPlan{.id = RequestId("a"),
+                   .service = kService,
+                   .kind = kind,
+                   .method = "POST",
+                   .target = "/",
+                   .body = std::string(kMoreThanSocketBuffers, 'x'),
+                   .deadline = loop.Now() + kDeadline},
+          CallCallbacks{.on_head = [this](int, const net::Headers&) { head = true; },
+                        .on_data = [](std::string_view) {},
+                        .on_done = [this](const Outcome& done) { outcome = done; }});
+      call->Start();
+      endpoint.Accept(loop);
+      endpoint.Send(loop, "HTTP/1.1 200 OK\r\nx-id: a\r\n\r\ndata: part\n\n");
+      endpoint.Close(reset);
+      net::RunUntil(loop, [this] { return outcome.has_value(); });
+      BOOST_TEST(std::holds_alternative<Unknown>(*outcome));
+      BOOST_TEST((!head || kind == RequestKind::kStream));
+    }
+  }
+}
+
 // Guards against a stream that ends in order inside an event and is delivered as complete.
 BOOST_AUTO_TEST_CASE(stream_that_ends_inside_an_event_is_not_complete) {
   const std::string start = "HTTP/1.1 200 OK\r\nx-id: a\r\n";
--- a/src/net/http_response_test.cc
+++ b/src/net/http_response_test.cc
@@ -4,6 +4,7 @@
 #include "acaciaspring/net.h"
 #include "src/net/http_test_support.h"
 #include "src/net/test_support.h"
+#include "src/net/unread_upload_server.h"
 
 namespace acaciaspring::net {
 
@@ -113,6 +114,54 @@
   BOOST_TEST(Describe(*result) == "interrupted");
 }
 
+// Guards against the same when the server resets at any moment of a long upload, which it reads in
+// part or not at all. An orderly end completes the response, also if a reset comes after it.
+BOOST_AUTO_TEST_CASE(reset_within_an_upload_interrupts_a_response_without_a_length) {
+  enum class End : std::uint8_t { kReset, kCloseWithUnreadBytes, kEndThenReset };
+  const std::vector<std::string> heads = {"HTTP/1.1 200 OK\r\n\r\n",
+                                          "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n",
+                                          "HTTP/1.0 200 OK\r\n\r\n"};
+  constexpr std::size_t kMoreThanSocketBuffers = std::size_t{64} << 20;
+  for (const std::string& head : heads) {
+    for (const std::size_t body_bytes : {std::size_t{1}, std::size_t{4000}, std::size_t{100'000}}) {
+      for (const std::size_t read_bytes : {std::size_t{0}, std::size_t{1} << 20}) {
+        for (const bool waits : {false, true}) {
+          for (const End end : {End::kReset, End::kCloseWithUnreadBytes, End::kEndThenReset}) {
+            Loop loop;
+            HttpClient client(loop, {});
+            UnreadUploadServer server;
+            std::optional<HttpResult> result;
+            std::string body;
+            const auto call =
+                client.Send({.server = server.address(),
+                             .method = "POST",
+                             .body = std::string(kMoreThanSocketBuffers, 'x'),
+                             .accept_close_delimited = true},
+                            {.on_data = [&](std::string_view data) { body += data; },
+                             .on_done = [&](const HttpResult& done) { result = done; }});
+            server.Accept(loop);
+            server.Read(loop, read_bytes);
+            server.Send(loop, head + std::string(body_bytes, 'y'));
+            if (waits) {
+              RunUntil(loop, [&] { return body.size() == body_bytes; });
+            }
+            if (end == End::kEndThenReset) {
+              server.EndSending();
+            }
+            server.Close(/*reset=*/end != End::kCloseWithUnreadBytes);
+            RunUntil(loop, [&] { return result.has_value(); });
+            const bool whole = end == End::kEndThenReset;
+            BOOST_TEST(Describe(*result) == (whole ? "finished 200" : "interrupted"),
+                       head << body_bytes << " bytes, read " << read_bytes << ", waits " << waits
+                            << ", end " << static_cast<int>(end));
+            BOOST_TEST((!whole || body.size() == body_bytes));
+          }
+        }
+      }
+    }
+  }
+}
+
 // Guards against headers that are lost or joined, because one has no value, comes twice, or arrives
 // in several reads.
 BOOST_AUTO_TEST_CASE(each_header_keeps_its_name_and_value) {
