Log answers that are no response of HTTP/1.1

An operator could not tell a server that sends invalid answers from one whose connections break: both are attempt_failed with 'failed'. HttpInterrupted now says that the response was invalid, and the event invalid_response names the request, the endpoint, and whether the response had begun to reach the caller. http_response/invalid_response_is_told_from_a_broken_connection covers both.

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -271,6 +271,8 @@
   /// Status of a response that may belong to an earlier request and was discarded; 0 if there was
   /// none.
   int unidentified_status = 0;
+  /// The server sent bytes that are no response of HTTP/1.1, or not from there on.
+  bool invalid_response = false;
 };
 using HttpResult = std::variant<HttpFinished, HttpNotSent, HttpInterrupted>;
 
--- a/src/gateway/endpoint_call.cc
+++ b/src/gateway/endpoint_call.cc
@@ -337,6 +337,9 @@
   if (interrupted.unidentified_status != 0) {
     LogUnidentifiedResponse(interrupted.unidentified_status);
   } else if (!interrupted.timed_out) {
+    if (interrupted.invalid_response) {
+      LogInvalidResponse();
+    }
     ReportInterruption();
   }
   EndAttempt(AttemptResult::kFailed);
--- a/src/gateway/endpoint_call.h
+++ b/src/gateway/endpoint_call.h
@@ -114,6 +114,7 @@
   void EndAttempt(AttemptResult result);
   void LogAttempt(AttemptResult result) const;
   void LogUnidentifiedResponse(int status) const;
+  void LogInvalidResponse() const;
   RequestContent Content() const;
   RequestFingerprints Fingerprints(const ShorterSizes& shorter_sizes = {}) const;
   void StartDelivery();
--- a/src/gateway/endpoint_call_log.cc
+++ b/src/gateway/endpoint_call_log.cc
@@ -20,4 +20,11 @@
                                                   {"why", "no_id_on_reused_connection"}});
 }
 
+void EndpointCall::LogInvalidResponse() const {
+  context_.events.Write("invalid_response",
+                        {{"id", plan_.id.value()},
+                         {"endpoint", endpoint_.value()},
+                         {"delivering", static_cast<std::int64_t>(delivering_)}});
+}
+
 }  // namespace acaciaspring::gateway
--- a/src/net/http_connection.cc
+++ b/src/net/http_connection.cc
@@ -127,7 +127,7 @@
     }
     if (state != ResponseParser::State::kComplete) {
       if (state == ResponseParser::State::kFailed) {
-        Disconnect();
+        DiscardInvalid();
       }
       return;
     }
@@ -198,6 +198,14 @@
   }
 }
 
+void HttpConnection::DiscardInvalid() {
+  Delegate* const delegate = std::exchange(delegate_, nullptr);
+  Close();
+  if (delegate != nullptr) {
+    delegate->OnInvalidResponse();
+  }
+}
+
 void HttpConnection::ParseKeepAliveTimeout(const Headers& headers) {
   constexpr std::string_view kParameter = "timeout=";
   const std::string_view value = FindHeader(headers, "keep-alive");
--- a/src/net/http_connection.h
+++ b/src/net/http_connection.h
@@ -37,6 +37,8 @@
     virtual void OnDisconnected() = 0;
     /// @brief A response arrived that may belong to an earlier request. The connection is closed.
     virtual void OnUnidentifiedResponse(int status) = 0;
+    /// @brief Bytes arrived that are no valid response. The connection is closed.
+    virtual void OnInvalidResponse() = 0;
   };
 
   explicit HttpConnection(Loop& loop) : loop_(loop), parser_(*this) {}
@@ -83,6 +85,7 @@
   /// @brief The request that the response whose head has arrived belongs to.
   ResponseOwner IdentifyResponse(const Headers& headers);
   void DiscardUnidentified(int status);
+  void DiscardInvalid();
   void ParseKeepAliveTimeout(const Headers& headers);
   void FinishResponse(bool reusable);
   uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket_); }
--- a/src/net/http_exchange.cc
+++ b/src/net/http_exchange.cc
@@ -147,6 +147,11 @@
   Finish(HttpInterrupted{.unidentified_status = status});
 }
 
+void HttpExchange::OnInvalidResponse() {
+  connection_.reset();
+  Finish(HttpInterrupted{.invalid_response = true});
+}
+
 void HttpExchange::ArmTimer(Duration delay) {
   timer_ =
       loop_.After(std::min(delay, std::max(RemainingTotal(), Duration(0))), [this] { OnTimer(); });
--- a/src/net/http_exchange.h
+++ b/src/net/http_exchange.h
@@ -33,6 +33,7 @@
   void OnComplete(bool reusable) override;
   void OnDisconnected() override;
   void OnUnidentifiedResponse(int status) override;
+  void OnInvalidResponse() override;
 
  private:
   void ArmTimer(Duration delay);
--- a/src/net/http_response_test.cc
+++ b/src/net/http_response_test.cc
@@ -70,6 +70,25 @@
   BOOST_TEST(Describe(reply.result) == "finished 204");
 }
 
+// Guards against broken connections that are reported as faults of the server's responses, and the
+// reverse.
+BOOST_AUTO_TEST_CASE(invalid_response_is_told_from_a_broken_connection) {
+  const std::vector<std::pair<std::string, bool>> responses = {
+      {"HTTP/1.1 000 Text\r\n\r\n", true},
+      {"nonsense", true},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull..", true},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", false},
+      {"HTTP/1.1 200", false},
+      {"", false},
+  };
+  for (const auto& [response, invalid] : responses) {
+    const HttpReply reply = GetRaw(response);
+    const auto* interrupted = std::get_if<HttpInterrupted>(&reply.result);
+    BOOST_REQUIRE(interrupted != nullptr);
+    BOOST_TEST(interrupted->invalid_response == invalid, response);
+  }
+}
+
 // Guards against a response without a length that the server resets midway and that is reported as
 // complete.
 BOOST_AUTO_TEST_CASE(reset_response_without_a_length_is_interrupted) {
