Check lines of responses with searches instead of a loop

A line is now searched for carriage returns and NUL, its buffer keeps its memory, and codings are looked at only where the parser found the header. Tests of net, broken_head and endpoint_call pass.

--- a/src/net/response_parser.cc
+++ b/src/net/response_parser.cc
@@ -123,10 +123,13 @@
 }
 
 bool ResponseParser::CheckLineBytes(std::string_view piece) {
-  return std::all_of(piece.begin(), piece.end(), [this](char c) {
-    const bool was_carriage_return = std::exchange(after_carriage_return_, c == '\r');
-    return c == '\n' || (c != '\0' && !was_carriage_return);
-  });
+  // A piece has no line feed but at its end.
+  if (std::exchange(after_carriage_return_, piece.ends_with('\r')) && piece != "\n") {
+    return false;
+  }
+  const std::size_t carriage_return = std::min(piece.find('\r'), piece.size());
+  const std::string_view rest = piece.substr(std::min(carriage_return + 1, piece.size()));
+  return (rest.empty() || rest == "\n") && piece.find('\0') == std::string_view::npos;
 }
 
 bool ResponseParser::CheckStatusLine(std::string_view piece) {
@@ -134,17 +137,21 @@
   if (!piece.ends_with('\n')) {
     return true;
   }
-  const std::string line = std::exchange(line_, {});
-  if (IsEmptyLine(line)) {
-    return true;
-  }
-  part_ = Part::kHeaders;
-  return IsStatusLine(line);
+  const bool is_empty = IsEmptyLine(line_);
+  const bool is_valid = is_empty || IsStatusLine(line_);
+  line_.clear();
+  part_ = is_empty ? Part::kStatusLine : Part::kHeaders;
+  return is_valid;
 }
 
 bool ResponseParser::CheckChunkSize(std::string_view piece) {
   line_ += piece;
-  return !piece.ends_with('\n') || IsChunkSizeLine(std::exchange(line_, {}));
+  if (!piece.ends_with('\n')) {
+    return true;
+  }
+  const bool is_valid = IsChunkSizeLine(line_);
+  line_.clear();
+  return is_valid;
 }
 
 bool ResponseParser::CheckChunkEnd(std::string_view piece) {
@@ -232,6 +239,9 @@
 }
 
 bool ResponseParser::HasKnownCoding() const {
+  if (parser_.uses_transfer_encoding == 0) {
+    return true;
+  }
   std::vector<std::string> codings;
   for (const auto& [name, value] : headers_) {
     if (name == "transfer-encoding") {
