Hand over a partition that the group takes away, before it moves

Daemons that stop recorded their turns first; now every planned release does (Partition::HandOver), and a new generation of the group is confirmed only after it, since the store reassigns a partition on that confirmation. Records that follow the hand-over no longer lower its ceiling below the turns in flight.

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -262,7 +262,12 @@
   void SetEndpoints(const std::vector<RegisteredEndpoint>& endpoints);
   void SetMembers(std::vector<Member> members);
   /// @brief Sets the partitions assigned to this daemon as of `generation` of the member group.
-  void SetAssignment(const std::vector<AssignedPartition>& assigned, ledger::OwnerEpoch generation);
+  /// Calls `on_released` once all others are released; a later call replaces a callback that has
+  /// not been called. To be confirmed to the group only then, so that turns in flight keep their
+  /// tokens.
+  void SetAssignment(std::vector<AssignedPartition> assigned,
+                     ledger::OwnerEpoch generation,
+                     std::function<void()> on_released);
 
   void Handle(CallerRequest request, net::HttpResponderPtr responder);
   /// @brief Addresses for a caller in `zone`; empty while no daemon is known to be ready.
--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -184,9 +184,10 @@
   /// @brief Counts tokens that the former owner handed out without a record, even beyond the
   /// budget. Returns the spend to record.
   ProgramSpend AddSpent(const ProgramId& program, TokenCount tokens, MonotonicTime now);
-  /// @brief Returns the spends to record before a planned release. The ceiling of each is the spend
-  /// of the program if all its turns in flight use their maximum, with nothing reserved ahead.
-  std::vector<ProgramSpend> ExactSpends();
+  /// @brief Returns the spends to record before a planned release. The ceiling of each, and of all
+  /// later ones of this ledger, is the spend of the program if all its turns in flight use their
+  /// maximum, with nothing reserved ahead.
+  std::vector<ProgramSpend> HandOver();
 
   /// @brief Returns the turn and all its predecessors, oldest first, or nullopt if any is missing.
   std::optional<std::vector<const Turn*>> Chain(const TurnId& turn) const;
@@ -243,10 +244,12 @@
   /// recorded ceilings, and makes a new spend if not.
   Admission Cover(const ProgramId& id, Program& program, TokenCount maximum) const;
   /// @brief Makes the spend for the next append and queues its ceiling: the spent and covered
-  /// tokens plus up to `ahead` tokens that the budget still allows.
-  static ProgramSpend MakeSpend(const ProgramId& id, Program& program, TokenCount ahead);
+  /// tokens plus up to `ahead` tokens that the budget still allows. During a hand-over, the ceiling
+  /// covers the admitted turns whole and nothing ahead.
+  ProgramSpend MakeSpend(const ProgramId& id, Program& program, TokenCount ahead) const;
 
   ProgramLedgerOptions options_;
+  bool handing_over_ = false;
   std::unordered_map<ProgramId, Program> programs_;
   std::unordered_map<TurnId, StoredTurn> turns_;
 };
@@ -370,8 +373,10 @@
   /// @brief Asks the store whether this daemon still owns the partition. To be called before a
   /// record is reported as absent, because a newer owner may have written it.
   void Confirm(std::function<void(bool owned)> on_done);
-  /// @brief Stops admitting turns before a planned release. Admitted turns continue.
-  void Retire() { retired_ = true; }
+  /// @brief Prepares a planned release: admits no more turns and records the spend of each program,
+  /// with its admitted turns at their maximum, so that these continue whoever owns the partition.
+  /// Calls `on_recorded` with false if the partition is lost first.
+  void HandOver(std::function<void(bool durable)> on_recorded);
   bool admits() const { return state_ == State::kServing && !retired_; }
   /// @brief Gives up ownership. Pending appends are reported as failed.
   void Release();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -6,13 +6,6 @@
 
 namespace acaciaspring::gateway {
 
-namespace {
-
-// Time for a few appends; after a longer wait the store is considered unavailable.
-constexpr Duration kHandOverTimeout = std::chrono::milliseconds(400);
-
-}  // namespace
-
 void Gateway::Impl::SetConfiguration(Configuration newer) {
   const bool first = !configuration;
   if (!first && newer.version <= configuration->version) {
@@ -77,36 +70,6 @@
   endpoint_states = std::move(states);
 }
 
-void Gateway::Impl::HandOverPartitions() {
-  const auto served = ownership.ServedPartitions();
-  const auto pending = std::make_shared<std::size_t>(1);
-  const auto on_appended = [this, pending](bool) {
-    if (--*pending == 0) {
-      ReleasePartitions();
-    }
-  };
-  // If the store does not respond in time, the partitions are released anyway.
-  drain_timer = context.loop.After(kHandOverTimeout, [this] { ReleasePartitions(); });
-  // With the exact spending recorded, the next owner need not count what this one reserved ahead.
-  for (const auto& partition : served) {
-    partition->Retire();
-    for (const ledger::ProgramSpend& spend : partition->ledger().ExactSpends()) {
-      ++*pending;
-      partition->Append({.spend = spend}, on_appended);
-    }
-  }
-  on_appended(true);
-}
-
-void Gateway::Impl::ReleasePartitions() {
-  drain_timer.Cancel();
-  if (const auto done = std::exchange(on_released, nullptr)) {
-    // Turns that are still running are recorded by the next owners.
-    ownership.ReleaseAll();
-    done();
-  }
-}
-
 Gateway::Gateway(net::Loop& loop, GatewayOptions options, ledger::PartitionStore& store)
     : impl_(std::make_unique<Impl>(loop, std::move(options), store)) {}
 
@@ -140,9 +103,10 @@
   }
 }
 
-void Gateway::SetAssignment(const std::vector<AssignedPartition>& assigned,
-                            ledger::OwnerEpoch generation) {
-  impl_->ownership.SetAssignment(assigned, generation);
+void Gateway::SetAssignment(std::vector<AssignedPartition> assigned,
+                            ledger::OwnerEpoch generation,
+                            std::function<void()> on_released) {
+  impl_->ownership.SetAssignment(std::move(assigned), generation, std::move(on_released));
 }
 
 void Gateway::Handle(CallerRequest request, net::HttpResponderPtr responder) {
@@ -164,10 +128,8 @@
 
 void Gateway::Drain(MonotonicTime end, std::function<void()> on_released) {
   impl_->stop_plan = StopPlan(impl_->context.loop.Now(), end);
-  impl_->on_released = std::move(on_released);
-  impl_->ownership.StopServing();
+  impl_->ownership.Stop(std::move(on_released));
   impl_->SendStatus();
-  impl_->HandOverPartitions();
 }
 
 std::size_t Gateway::open_requests() const {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -70,8 +70,6 @@
   /// @brief Applies the endpoints to use at this time.
   void ApplyEndpoints();
   void LogEndpointChanges(const std::vector<RegisteredEndpoint>& listed);
-  void HandOverPartitions();
-  void ReleasePartitions();
 
   Context context;
   RateLimitExchange rate_limits;
@@ -95,8 +93,6 @@
   /// State of the endpoint table at the last load report.
   std::uint64_t reported_changes = 0;
   net::Timer maintenance;
-  net::Timer drain_timer;
-  std::function<void()> on_released;
   std::optional<StopPlan> stop_plan;
   bool endpoints_known = false;
 };
--- a/src/gateway/ownership.cc
+++ b/src/gateway/ownership.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Time for a few appends; after a longer wait the store is considered unavailable.
+constexpr Duration kHandOverTimeout = std::chrono::milliseconds(400);
+
 const char* StateName(ledger::Partition::State state) {
   switch (state) {
     case ledger::Partition::State::kFencing:
@@ -28,33 +31,53 @@
                      std::function<void()> on_changed)
     : context_(context), store_(store), on_changed_(std::move(on_changed)) {}
 
-void Ownership::SetAssignment(const std::vector<AssignedPartition>& assigned,
-                              ledger::OwnerEpoch generation) {
+void Ownership::SetAssignment(std::vector<AssignedPartition> assigned,
+                              ledger::OwnerEpoch generation,
+                              std::function<void()> on_released) {
+  if (!serving_) {
+    return;
+  }
+  assigned_ = std::move(assigned);
+  generation_ = generation;
+  on_released_ = std::move(on_released);
+  ApplyAssignment();
+}
+
+void Ownership::Stop(std::function<void()> on_released) {
+  serving_ = false;
+  assigned_.clear();
+  on_released_ = std::move(on_released);
+  ApplyAssignment();
+}
+
+void Ownership::ApplyAssignment() {
   std::unordered_map<ledger::PartitionId, ledger::OwnerEpoch> target_epochs;
-  for (const AssignedPartition& entry : assigned) {
+  for (const AssignedPartition& entry : assigned_) {
     const auto local = local_.find(entry.partition);
     if (local == local_.end() || local->second->epoch() < entry.epoch) {
       target_epochs[entry.partition] = entry.epoch;
     } else if (local->second->state() == ledger::Partition::State::kLost) {
       // The partition moved away and back between two responses of the group.
-      target_epochs[entry.partition] = std::max(local->second->epoch(), generation);
+      target_epochs[entry.partition] = std::max(local->second->epoch(), generation_);
     } else {
       target_epochs[entry.partition] = local->second->epoch();
     }
   }
-  std::vector<std::shared_ptr<ledger::Partition>> released;
-  for (auto it = local_.begin(); it != local_.end();) {
-    const auto found = target_epochs.find(it->first);
-    if (found == target_epochs.end() || found->second != it->second->epoch()) {
-      released.push_back(it->second);
-      it = local_.erase(it);
-    } else {
-      ++it;
+  std::vector<std::shared_ptr<ledger::Partition>> served;
+  std::vector<std::shared_ptr<ledger::Partition>> others;
+  for (const auto& [id, partition] : local_) {
+    const auto found = target_epochs.find(id);
+    const bool assigned = found != target_epochs.end() && found->second == partition->epoch();
+    if (!assigned && !handing_over_.contains(id)) {
+      const bool serving = partition->state() == ledger::Partition::State::kServing;
+      (serving ? served : others).push_back(partition);
     }
   }
-  for (const auto& partition : released) {
+  for (const auto& partition : others) {
+    local_.erase(partition->id());
     partition->Release();
   }
+  HandOver(served);
   for (const auto& [id, epoch] : target_epochs) {
     if (local_.contains(id)) {
       continue;
@@ -65,6 +88,46 @@
     local_.emplace(id, partition);
     partition->Start();
   }
+  if (handing_over_.empty()) {
+    if (const auto done = std::exchange(on_released_, nullptr)) {
+      done();
+    }
+  }
+}
+
+void Ownership::HandOver(const std::vector<std::shared_ptr<ledger::Partition>>& partitions) {
+  if (partitions.empty()) {
+    return;
+  }
+  // All are entered first, because a partition without programs is handed over at once.
+  for (const auto& partition : partitions) {
+    handing_over_.emplace(partition->id(),
+                          context_.loop.After(kHandOverTimeout, [this, id = partition->id()] {
+                            FinishHandOver(id, "timeout");
+                          }));
+  }
+  for (const auto& partition : partitions) {
+    partition->HandOver([this, id = partition->id()](bool durable) {
+      FinishHandOver(id, durable ? "recorded" : "lost");
+    });
+  }
+  on_changed_();
+}
+
+void Ownership::FinishHandOver(ledger::PartitionId id, std::string_view outcome) {
+  const auto found = local_.find(id);
+  if (handing_over_.erase(id) == 0 || found == local_.end()) {
+    return;
+  }
+  const std::shared_ptr<ledger::Partition> partition = found->second;
+  local_.erase(found);
+  context_.events.Write("partition_handed_over",
+                        {{"partition", id.value()},
+                         {"epoch", static_cast<std::int64_t>(partition->epoch().value())},
+                         {"spends", std::string(outcome)}});
+  // Turns that are still running are recorded by the next owner.
+  partition->Release();
+  ApplyAssignment();
 }
 
 void Ownership::OnStateChanged(const ledger::Partition& partition) {
@@ -159,11 +222,4 @@
   }
 }
 
-void Ownership::ReleaseAll() {
-  const auto local = std::exchange(local_, {});
-  for (const auto& [id, partition] : local) {
-    partition->Release();
-  }
-}
-
 }  // namespace acaciaspring::gateway
--- a/src/gateway/ownership.h
+++ b/src/gateway/ownership.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -19,8 +20,12 @@
   Ownership(Context& context, ledger::PartitionStore& store, std::function<void()> on_changed);
 
   /// @brief Applies an assignment of the member group, made in `generation`. A lost partition that
-  /// is assigned to this daemon again is taken over with `generation` as its epoch.
-  void SetAssignment(const std::vector<AssignedPartition>& assigned, ledger::OwnerEpoch generation);
+  /// is assigned to this daemon again is taken over with `generation` as its epoch. A partition
+  /// that is no longer assigned is handed over and released. Calls `on_released` once no such
+  /// partition is left; a later call of this function replaces a callback that has not been called.
+  void SetAssignment(std::vector<AssignedPartition> assigned,
+                     ledger::OwnerEpoch generation,
+                     std::function<void()> on_released);
   /// @brief Replaces what is known of the partitions that another daemon serves. A local partition
   /// that the other daemon serves under a higher epoch is released.
   void OnStatus(const DaemonId& daemon, const PeerStatus& status);
@@ -37,9 +42,9 @@
   /// @brief Partitions that currently accept records.
   std::vector<std::shared_ptr<ledger::Partition>> WritablePartitions() const;
   void Maintain();
-  /// @brief From now on, admits no turns and announces no partitions.
-  void StopServing() { serving_ = false; }
-  void ReleaseAll();
+  /// @brief From now on, admits no turns, announces no partitions and ignores assignments. Hands
+  /// over and releases all partitions, then calls `on_released`.
+  void Stop(std::function<void()> on_released);
 
  private:
   struct RemoteClaim {
@@ -48,12 +53,23 @@
   };
 
   void OnStateChanged(const ledger::Partition& partition);
+  /// @brief Releases what is not assigned, takes over what is, and reports when it is done.
+  void ApplyAssignment();
+  /// @brief Releases each partition when its spends are recorded or the time for it has passed.
+  void HandOver(const std::vector<std::shared_ptr<ledger::Partition>>& partitions);
+  void FinishHandOver(ledger::PartitionId id, std::string_view outcome);
 
   Context& context_;
   ledger::PartitionStore& store_;
   std::function<void()> on_changed_;
   std::unordered_map<ledger::PartitionId, std::shared_ptr<ledger::Partition>> local_;
   std::unordered_map<ledger::PartitionId, RemoteClaim> remote_;
+  /// The last assignment and its generation.
+  std::vector<AssignedPartition> assigned_;
+  ledger::OwnerEpoch generation_;
+  /// Local partitions that are being handed over, with the timers that bound the time for it.
+  std::unordered_map<ledger::PartitionId, net::Timer> handing_over_;
+  std::function<void()> on_released_;
   bool serving_ = true;
 };
 
--- a/src/gateway/ownership_test.cc
+++ b/src/gateway/ownership_test.cc
@@ -24,7 +24,7 @@
 
   void Assign(std::uint64_t epoch, std::uint64_t generation) {
     ownership.SetAssignment({{.partition = kPartition, .epoch = ledger::OwnerEpoch(epoch)}},
-                            ledger::OwnerEpoch(generation));
+                            ledger::OwnerEpoch(generation), [] {});
     store.Run(kSettleTime);
   }
   /// @brief Lets another daemon take over the partition at the store.
--- a/src/gateway/test_cluster.h
+++ b/src/gateway/test_cluster.h
@@ -133,8 +133,8 @@
     for (std::uint32_t id = 0; id < kClusterPartitions; ++id) {
       assigned.push_back({ledger::PartitionId(id), ledger::OwnerEpoch(1)});
     }
-    daemons[0]->gateway.SetAssignment(assigned, ledger::OwnerEpoch(1));
-    daemons[1]->gateway.SetAssignment({}, ledger::OwnerEpoch(1));
+    daemons[0]->gateway.SetAssignment(assigned, ledger::OwnerEpoch(1), [] {});
+    daemons[1]->gateway.SetAssignment({}, ledger::OwnerEpoch(1), [] {});
   }
 
   void Configure(const Configuration& configuration,
--- a/src/gateway/test_daemon.h
+++ b/src/gateway/test_daemon.h
@@ -91,7 +91,7 @@
     for (std::uint32_t id = 0; id < kPartitionCount; ++id) {
       assigned.push_back({ledger::PartitionId(id), ledger::OwnerEpoch(epoch)});
     }
-    ownership.SetAssignment(assigned, ledger::OwnerEpoch(epoch));
+    ownership.SetAssignment(assigned, ledger::OwnerEpoch(epoch), [] {});
     store.Run(std::chrono::seconds(1));
   }
 
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -276,6 +276,25 @@
       });
 }
 
+void Partition::HandOver(std::function<void(bool)> on_recorded) {
+  retired_ = true;
+  if (state_ != State::kServing) {
+    // While the partition is loaded, the ledger understates the spends.
+    on_recorded(false);
+    return;
+  }
+  const std::vector<ProgramSpend> spends = ledger_.HandOver();
+  if (spends.empty()) {
+    on_recorded(true);
+    return;
+  }
+  // Appends are acknowledged in order, so the result of the last one covers the earlier ones.
+  for (std::size_t i = 0; i + 1 < spends.size(); ++i) {
+    Append({.spend = spends[i]}, [](bool) {});
+  }
+  Append({.spend = spends.back()}, std::move(on_recorded));
+}
+
 void Partition::Release() {
   if (state_ != State::kLost) {
     MarkLost();
--- a/src/ledger/partition_test.cc
+++ b/src/ledger/partition_test.cc
@@ -59,6 +59,33 @@
   BOOST_TEST(HasTurn(next, "6"));
 }
 
+// Guards against a hand-over that is reported before its records are durable, and against one that
+// lowers the spends of a partition that has not been loaded yet.
+BOOST_AUTO_TEST_CASE(handover_is_reported_when_the_spends_are_durable) {
+  TestStore store;
+  const auto former = StartOwner(store, 1);
+  std::optional<bool> early;
+  former->HandOver([&](bool durable) { early = durable; });
+  BOOST_TEST((early == std::optional<bool>(false)));
+  const auto owner = StartOwner(store, 2);
+  store.Run(kSettleTime);
+  const TurnDemand demand{
+      .program = ProgramId("p"), .budget = TokenCount(250), .maximum = TokenCount(100)};
+  BOOST_REQUIRE(!std::holds_alternative<BudgetSpent>(owner->ledger().Admit(demand, store.Now())));
+  std::optional<bool> recorded;
+  owner->HandOver([&](bool durable) { recorded = durable; });
+  BOOST_TEST(!owner->admits());
+  BOOST_TEST(!recorded.has_value());
+  store.Run(kSettleTime);
+  BOOST_TEST((recorded == std::optional<bool>(true)));
+  owner->Release();
+  const auto next = StartOwner(store, 3);
+  store.Run(kSettleTime);
+  BOOST_TEST(std::holds_alternative<BudgetSpent>(next->ledger().Admit(
+      {.program = ProgramId("p"), .budget = TokenCount(199), .maximum = TokenCount(100)},
+      store.Now())));
+}
+
 // Guards against a history that is lost because the log was trimmed within a record of several
 // pieces that an owner had read at its takeover.
 BOOST_AUTO_TEST_CASE(record_of_several_pieces_survives_trimming_after_a_takeover) {
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -47,9 +47,13 @@
              : share;
 }
 
-ProgramSpend ProgramLedger::MakeSpend(const ProgramId& id, Program& program, TokenCount ahead) {
+ProgramSpend ProgramLedger::MakeSpend(const ProgramId& id,
+                                      Program& program,
+                                      TokenCount ahead) const {
   const TokenCount needed = program.spent + program.covered;
-  const TokenCount ceiling = std::max(needed, std::min(needed + ahead, program.budget));
+  const TokenCount ceiling = handing_over_
+                                 ? program.spent + program.in_flight
+                                 : std::max(needed, std::min(needed + ahead, program.budget));
   program.queued_ceilings.push_back(ceiling);
   return {.program = id, .spent = program.spent, .ceiling = ceiling};
 }
@@ -114,6 +118,7 @@
 ProgramSpend ProgramLedger::SpendAtEnd(const TurnClaim& claim, TokenCount used) {
   Program ended = programs_[claim.program];
   ended.spent += used;
+  ended.in_flight -= std::min(claim.maximum, ended.in_flight);
   ended.covered -= std::min(claim.covered, ended.covered);
   const ProgramSpend spend =
       MakeSpend(claim.program, ended,
@@ -139,15 +144,13 @@
   return MakeSpend(id, program, TokenCount());
 }
 
-std::vector<ProgramSpend> ProgramLedger::ExactSpends() {
+std::vector<ProgramSpend> ProgramLedger::HandOver() {
+  handing_over_ = true;
   std::vector<ProgramSpend> spends;
   for (auto& [id, program] : programs_) {
-    // The turns in flight finish at this daemon, and only this daemon can extend their claims, so
-    // their maximum bounds the spend.
-    const TokenCount most = program.spent + program.in_flight;
-    if (program.ceiling != most || !program.queued_ceilings.empty()) {
-      program.queued_ceilings.push_back(most);
-      spends.push_back({.program = id, .spent = program.spent, .ceiling = most});
+    // The turns in flight finish at this daemon, so their maximum bounds the spend.
+    if (program.ceiling != program.spent + program.in_flight || !program.queued_ceilings.empty()) {
+      spends.push_back(MakeSpend(id, program, TokenCount()));
     }
   }
   return spends;
--- a/src/ledger/program_ledger_test.cc
+++ b/src/ledger/program_ledger_test.cc
@@ -201,7 +201,7 @@
   AdmitDurably(former, Demand(1000, 100), offset);
   former.Settle(Claim(former, 100), TokenCount(40));
   ProgramLedger next;
-  for (const ProgramSpend& spend : former.ExactSpends()) {
+  for (const ProgramSpend& spend : former.HandOver()) {
     next.Apply({.spend = spend}, RecordOffset(offset++), kStart);
   }
   next.FinishLoading();
@@ -209,6 +209,24 @@
   BOOST_TEST(std::holds_alternative<BudgetSpent>(next.Admit(Demand(140, 100), kStart)));
 }
 
+// Guards against a record that follows the one of the hand-over and no longer covers the turns in
+// flight: a turn ends, and another one needs its last tokens, while the hand-over is not durable.
+BOOST_AUTO_TEST_CASE(records_after_a_handover_still_cover_the_turns_in_flight) {
+  ProgramLedger former;
+  std::uint64_t offset = 0;
+  AdmitDurably(former, Demand(300, 100), offset);
+  AdmitDurably(former, Demand(300, 100), offset);
+  TurnClaim claim = Claim(former, 100);
+  BOOST_TEST(former.HandOver().back().ceiling.value() == 200U);
+  BOOST_TEST(former.SpendAtEnd(claim, TokenCount(10)).ceiling.value() == 110U);
+  former.Settle(claim, TokenCount(10));
+  const Admission extended = former.Extend(claim);
+  BOOST_REQUIRE(!std::holds_alternative<BudgetSpent>(extended));
+  if (const auto* needed = std::get_if<SpendNeedsRecord>(&extended)) {
+    BOOST_TEST(needed->spend.ceiling.value() == 110U);
+  }
+}
+
 // Guards against uncounted tokens of a turn that the former owner is still streaming.
 BOOST_AUTO_TEST_CASE(tokens_of_a_turn_of_the_former_owner_are_counted) {
   ProgramLedger ledger;
@@ -225,7 +243,7 @@
   std::uint64_t offset = 0;
   AdmitDurably(former, Demand(1800, 576), offset);
   ProgramLedger next;
-  for (const ProgramSpend& spend : former.ExactSpends()) {
+  for (const ProgramSpend& spend : former.HandOver()) {
     next.Apply({.spend = spend}, RecordOffset(offset++), kStart);
   }
   next.FinishLoading();
