Count the tokens of a lost record once

A turn that starts without waiting for its record has the next owner count its tokens at its end if that record is lost with the partition. It had all of its tokens counted, also those that the next owner had reserved for the extension of its claim, so programs lost budget: the next owner refused turns that had room. Now only the tokens of lost records are counted.

--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -62,6 +62,12 @@
   bool waits_for_record() const { return admitted_ && !reserved_; }
 
  private:
+  /// @brief The tokens of a turn that one record covers: those after the first `from`, up to `to`.
+  struct CoveredTokens {
+    TokenCount from;
+    TokenCount to;
+  };
+
   void UpdateHeldBytes();
   void AddChainToBody(const std::vector<const ledger::Turn*>& chain);
   void SearchChain();
@@ -135,10 +141,9 @@
   bool admitted_ = false;
   /// Data may be forwarded, because no record that it depends on is pending.
   bool reserved_ = false;
-  /// A record that covers tokens of this turn was lost with the partition.
-  bool spend_record_lost_ = false;
-  /// Tokens of this turn covered by the records before the lost one.
-  TokenCount covered_before_loss_;
+  /// Tokens of this turn that were forwarded without a record, which was then lost with the
+  /// partition; the next owner has to count those that the turn has used.
+  std::vector<CoveredTokens> unrecorded_;
   bool response_started_ = false;
   bool ended_ = false;
   /// The program has run turns before this one.
--- a/src/gateway/turn_run_budget.cc
+++ b/src/gateway/turn_run_budget.cc
@@ -1,5 +1,6 @@
 #include "src/gateway/turn_run.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace acaciaspring::gateway {
@@ -62,12 +63,12 @@
   reserved_ = true;
   if (const auto& ahead = std::get<ledger::SpendGranted>(admission).spend) {
     // Keeps the run alive until the result of the append is known.
-    partition_->Append({.spend = ahead}, [self = shared_from_this(), covered_before](bool durable) {
-      if (!durable && !self->spend_record_lost_) {
-        self->spend_record_lost_ = true;
-        self->covered_before_loss_ = covered_before;
+    const CoveredTokens covered{.from = covered_before, .to = claim_.covered};
+    partition_->Append({.spend = ahead}, [self = shared_from_this(), covered](bool durable) {
+      if (!durable) {
+        self->unrecorded_.push_back(covered);
+        self->CommitUnrecordedTokens();
       }
-      self->CommitUnrecordedTokens();
     });
   }
 }
@@ -142,10 +143,15 @@
 }
 
 void TurnRun::CommitUnrecordedTokens() {
-  if (spend_record_lost_ && !admitted_ && settled_tokens_ > covered_before_loss_) {
-    spend_record_lost_ = false;
-    dependencies_.commit_at_next_owner({.program = request_.program.program,
-                                        .used_tokens = settled_tokens_ - covered_before_loss_},
+  if (admitted_) {
+    return;
+  }
+  TokenCount used;
+  for (const CoveredTokens& covered : std::exchange(unrecorded_, {})) {
+    used += std::min(settled_tokens_, covered.to) - std::min(settled_tokens_, covered.from);
+  }
+  if (used > TokenCount()) {
+    dependencies_.commit_at_next_owner({.program = request_.program.program, .used_tokens = used},
                                        context_.loop.Now() + kLateCommitTimeout, [](bool) {});
   }
 }
--- a/src/gateway/turn_run_test.cc
+++ b/src/gateway/turn_run_test.cc
@@ -30,9 +30,13 @@
         TurnDependencies{.preferred_endpoint = [](const auto&) { return EndpointId(); },
                          .remember_endpoint = [](const auto&, const auto&) {},
                          .commit_at_next_owner =
-                             [this](const CommitRequest& request, MonotonicTime, const auto&) {
+                             [this](const CommitRequest& request, MonotonicTime,
+                                    std::function<void(bool)> on_done) {
                                if (!request.turns.empty()) {
                                  commit_requests.push_back(request);
+                               } else {
+                                 spend_requests.push_back(request);
+                                 on_spend_recorded = std::move(on_done);
                                }
                              },
                          .record_in_any_partition =
@@ -62,6 +66,9 @@
   ProgramId program{"p"};
   std::shared_ptr<RecordingSink> sink = std::make_shared<RecordingSink>();
   std::vector<CommitRequest> commit_requests;
+  /// Requests to reserve or to count tokens, and the callback of the last one.
+  std::vector<CommitRequest> spend_requests;
+  std::function<void(bool)> on_spend_recorded;
   std::vector<CommitRequest> any_partition_requests;
   std::function<void(bool)> on_recorded;
   int cancelled = 0;
@@ -121,6 +128,32 @@
   BOOST_TEST(sink->data() == "data: a\n\ndata: b\n\ndata: c\n\n");
 }
 
+// The store turns the owner away from a turn that began without waiting for its record. Guards
+// against a next owner that counts the tokens of the claim's extension twice, and then refuses the
+// program's other turns.
+BOOST_AUTO_TEST_CASE(next_owner_counts_each_token_once) {
+  constexpr std::uint64_t kMaximum = 3 * kTurnTokens;
+  engine.hold_responses = true;
+  const auto own_partition = partition();
+  store.SetPartitionUnavailable(own_partition->id(), true);
+  own_partition->ledger().Admit({.program = program,
+                                 .budget = TokenCount(100 * kTurnTokens),
+                                 .maximum = TokenCount(kMaximum)},
+                                loop.Now());
+  const auto run = Start("t1", "", kMaximum);
+  Until([&] { return engine.held_response != nullptr; });
+  engine.held_response->Start(200, {{"content-type", "text/event-stream"}});
+  engine.held_response->Write("data: a\n\ndata: b\n\ndata: c\n\n");
+  engine.held_response->End();
+  Until([&] { return run->waits_for_record(); });
+  own_partition->Release();
+  Until([&] { return !spend_requests.empty(); });
+  BOOST_TEST(spend_requests.back().reserved_tokens.value() == 2 * kTurnTokens);
+  on_spend_recorded(true);
+  Until([&] { return spend_requests.size() == 2; });
+  BOOST_TEST(spend_requests.back().used_tokens.value() == kTurnTokens);
+}
+
 // Guards against work at other daemons for a turn that is already durable.
 BOOST_AUTO_TEST_CASE(any_partition_request_is_cancelled_when_the_turn_ends) {
   const auto run = Start("t1", "");
