Hand out no more of a turn than the record for which it waited covers

Cause: a turn that waits for the record of its first third collects what the engine sends, and forwarded all of it once the third was recorded; only later data extended the claim. The next owner, which made the record, counted the third. Now the turn first looks whether the record covers what has arrived, and otherwise waits for the extension too.

--- a/src/gateway/partition_move_test.cc
+++ b/src/gateway/partition_move_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <string>
@@ -33,17 +34,22 @@
                       {{.id = EndpointId("e"),
                         .service = ServiceId("engines"),
                         .address = engine.address(),
-                        .slots = 8}});
-    Until([&] { return IsReady(0) && IsReady(1); });
+                        .slots = 20}});
+    // Both daemons know the owner once a turn has been forwarded to it.
+    const auto first = Start(1, "first", "another");
+    EndAll();
+    Until([&] { return TestCluster::IsOver(*first); });
   }
 
-  bool IsReady(std::size_t daemon) { return cluster.daemons.at(daemon)->gateway.ready(); }
   void Until(const std::function<bool()>& condition) { cluster.Until(condition); }
   /// @brief Sends a turn of the program and waits until the engine runs it or it is refused.
-  std::unique_ptr<net::RawConnection> Start(std::size_t daemon, const std::string& id) {
-    auto caller = cluster.Send(
-        daemon, "/turn",
-        "x-id: " + id + "\r\nx-program: p\r\nx-budget: " + std::to_string(kBudget) + "\r\n", "i");
+  std::unique_ptr<net::RawConnection> Start(std::size_t daemon,
+                                            const std::string& id,
+                                            const std::string& program = "p") {
+    auto caller = cluster.Send(daemon, "/turn",
+                               "x-id: " + id + "\r\nx-program: " + program +
+                                   "\r\nx-budget: " + std::to_string(budget) + "\r\n",
+                               "i");
     Until([&] { return running.contains(id) || TestCluster::IsOver(*caller); });
     return caller;
   }
@@ -54,11 +60,20 @@
     cluster.daemons.at(from)->gateway.SetAssignment({}, ledger::OwnerEpoch(generation),
                                                     [&] { released = true; });
     Until([&] { return released; });
+    AssignAll(to, generation);
+  }
+  void AssignAll(std::size_t daemon, std::uint64_t generation) {
     std::vector<AssignedPartition> assigned;
     for (std::uint32_t id = 0; id < kClusterPartitions; ++id) {
       assigned.push_back({ledger::PartitionId(id), ledger::OwnerEpoch(generation)});
     }
-    cluster.daemons.at(to)->gateway.SetAssignment(assigned, ledger::OwnerEpoch(generation), [] {});
+    cluster.daemons.at(daemon)->gateway.SetAssignment(assigned, ledger::OwnerEpoch(generation),
+                                                      [] {});
+  }
+  void SetAllUnavailable(bool unavailable) {
+    for (std::uint32_t id = 0; id < kClusterPartitions; ++id) {
+      cluster.store.SetPartitionUnavailable(ledger::PartitionId(id), unavailable);
+    }
   }
   /// @brief Ends all turns at the engine, each after `events` events.
   void EndAll(int events = 2) {
@@ -83,6 +98,7 @@
 
   TestCluster cluster;
   int started = 0;
+  std::uint64_t budget = kBudget;
   std::map<std::string, net::HttpResponderPtr> running;
   net::HttpServer engine{
       cluster.loop,
@@ -130,6 +146,31 @@
   }
 }
 
+// The store turns the owner away while sub-agents run side by side. Guards against tokens beyond
+// what the record covers for which a turn has waited: nobody counts them, and the program exceeds
+// its budget.
+BOOST_AUTO_TEST_CASE(turns_that_waited_for_a_record_hand_out_what_it_covers) {
+  constexpr std::size_t kSubAgents = 12;
+  budget = kSubAgents * kClusterMaxOutput + kTokensPerEvent;
+  SetAllUnavailable(true);
+  const auto turns = StartUntilSpent(0);
+  BOOST_TEST(turns.size() == kSubAgents);
+  EndAll();
+  const auto is_whole = [](const auto& turn) { return ParseResponse(*turn).whole; };
+  BOOST_TEST(std::none_of(turns.begin(), turns.end(), is_whole));
+  bool released = false;
+  cluster.daemons[0]->gateway.SetAssignment({}, ledger::OwnerEpoch(2), [&] { released = true; });
+  Until([&] { return released; });
+  SetAllUnavailable(false);
+  AssignAll(1, 2);
+  Until([&] { return std::all_of(turns.begin(), turns.end(), is_whole); });
+  for (const auto& turn : turns) {
+    BOOST_TEST(ParseResponse(*turn).body == kWholeTurn);
+  }
+  const auto others = StartUntilSpent(1);
+  BOOST_TEST((turns.size() + others.size()) * kClusterMaxOutput <= budget + kClusterMaxOutput);
+}
+
 // Guards against tokens that are lost to a program because its former owner had reserved them
 // ahead: what is left of the budget after a move is what the turns have not used.
 BOOST_AUTO_TEST_CASE(nothing_stays_reserved_ahead_when_a_partition_moves) {
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -76,7 +76,7 @@
   /// @brief Lets the turn continue, either at once or when a record is durable. Earlier records
   /// cover `covered_before` tokens of this turn.
   void ReserveTokens(const ledger::Admission& admission, TokenCount covered_before);
-  /// @brief Extends the claim to all tokens of the turn when the first part is used up.
+  /// @brief Extends the claim to all tokens of the turn if the engine has sent more than it covers.
   void ExtendClaim();
   void OnReservationAppended(bool durable, TokenCount covered_before);
   void OnReservationDone(bool durable);
--- a/src/gateway/turn_run_budget.cc
+++ b/src/gateway/turn_run_budget.cc
@@ -109,6 +109,11 @@
     return;
   }
   reserved_ = true;
+  // The engine may have sent more meanwhile than the record covers.
+  ExtendClaim();
+  if (!reserved_ || ended_) {
+    return;
+  }
   if (head_awaiting_reservation_) {
     const auto head = *std::exchange(head_awaiting_reservation_, std::nullopt);
     response_started_ = true;
