Let turns run ahead of their records at the first owner only

A budget may be exceeded by one turn, and the ledger used that for a turn whose record is not durable yet. When that record was lost with its owner, the next owner did the same, because nothing durable said that the excess had been used. Now the first owner of a partition leaves an empty record, later owners find a record, and their turns wait for theirs, except in programs that begin 180 s after the takeover.

--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -163,8 +163,12 @@
   /// @brief Applies a record that was read from the store or acknowledged by it.
   void Apply(const Record& record, RecordOffset offset, MonotonicTime now);
   /// @brief To be called after all records of the former owner are applied. Counts each program's
-  /// ceiling as spent, because the former owner may have handed out that many tokens.
+  /// ceiling as spent, because the former owner may have handed out that many tokens. From then on,
+  /// no turn runs ahead of its record, because one of the former owner may have done so.
   void FinishLoading();
+  /// @brief Lets one turn at a time run ahead of its record in programs that are first seen at
+  /// `since` or later. To be called only if no other owner has let a turn of such a program do so.
+  void AllowRunningAhead(MonotonicTime since) { running_ahead_since_ = since; }
 
   /// @brief Reserves `demand.maximum` tokens if the remaining budget allows it.
   Admission Admit(const TurnDemand& demand, MonotonicTime now);
@@ -228,6 +232,8 @@
     TokenCount largest_turn;
     MonotonicTime last_active;
     RecordOffset offset;
+    /// One turn may hand out tokens before its record is durable.
+    bool may_run_ahead = false;
   };
   struct StoredTurn {
     Turn turn;
@@ -250,6 +256,8 @@
 
   ProgramLedgerOptions options_;
   bool handing_over_ = false;
+  /// Programs that are first seen from then on may run ahead; empty if none may.
+  std::optional<MonotonicTime> running_ahead_since_ = MonotonicTime::min();
   std::unordered_map<ProgramId, Program> programs_;
   std::unordered_map<TurnId, StoredTurn> turns_;
 };
@@ -414,6 +422,8 @@
   void Fence();
   void Load();
   void OnRead(const ReadResult& result);
+  /// @brief Decides for which programs this owner may let turns run ahead of their records.
+  void LimitRunningAhead();
   void Flush();
   /// @brief Number of pieces at the front of the queue that fit into one append; at least one.
   std::size_t CountPiecesToSend() const;
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -106,9 +106,25 @@
   ledger_.FinishLoading();
   checkpoints_.push_back({.offset = next_offset_, .at = store_.Now()});
   SetState(State::kServing);
+  LimitRunningAhead();
   Flush();
 }
 
+void Partition::LimitRunningAhead() {
+  if (next_offset_ > RecordOffset()) {
+    // A former owner may have let turns run ahead of records that were lost. After this time it
+    // also forgets the spend of a program.
+    ledger_.AllowRunningAhead(store_.Now() + options_.ledger.program_retention);
+    return;
+  }
+  // The first owner leaves a record, from which later ones learn that they are not the first.
+  Append({}, [this](bool durable) {
+    if (durable) {
+      ledger_.AllowRunningAhead(store_.Now());
+    }
+  });
+}
+
 void Partition::Append(const Record& record, std::function<void(bool)> on_done) {
   if (state_ == State::kLost) {
     on_done(false);
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -23,6 +23,7 @@
 }
 
 void ProgramLedger::FinishLoading() {
+  running_ahead_since_.reset();
   for (auto& [id, program] : programs_) {
     program.spent = std::max(program.spent, program.ceiling);
   }
@@ -70,8 +71,8 @@
   }
   const ProgramSpend spend = MakeSpend(id, program, TokensReservedAhead(program));
   // The budget may be exceeded by the maximum of one turn, so that many tokens may be handed out
-  // beyond the recorded ceiling.
-  if (needed <= ceiling + maximum) {
+  // beyond the recorded ceiling, but not by one owner after another.
+  if (program.may_run_ahead && needed <= ceiling + maximum) {
     return SpendGranted{spend};
   }
   return SpendNeedsRecord{spend};
@@ -83,7 +84,11 @@
 }
 
 Admission ProgramLedger::Admit(const TurnDemand& demand, MonotonicTime now) {
-  Program& program = programs_[demand.program];
+  const auto [found, is_new] = programs_.try_emplace(demand.program);
+  Program& program = found->second;
+  if (is_new) {
+    program.may_run_ahead = running_ahead_since_ && now >= *running_ahead_since_;
+  }
   program.last_active = now;
   program.largest_turn = std::max(program.largest_turn, demand.maximum);
   program.budget = demand.budget;
