Let a hand-over cover turns that ask for a record meanwhile

A turn that used up its share while the hand-over of its partition was being recorded had its own record queued behind it. The partition was released before that record, so the turn asked the next owner for tokens that the hand-over had already given it: the owner refuses them when nothing is left, which breaks the stream off, or counts them twice. A record that is lost with the partition is no longer missed if durable ones cover the program's claims.

--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -177,6 +177,9 @@
   /// @brief Extends the claim of a turn that has used its initial share to the maximum of the turn.
   /// Never returns BudgetSpent.
   Admission Extend(TurnClaim& claim);
+  /// @brief True if durable records cover all tokens that the claims of the program's turns allow.
+  /// Holds for a lost partition too: its next owner has read these records.
+  bool IsCovered(const ProgramId& program) const;
   /// @brief Releases the claim of a turn that ended after handing out `used` tokens.
   void Settle(const TurnClaim& claim, TokenCount used);
   /// @brief Returns the spend to record when a turn ends after handing out `used` tokens. To be
@@ -249,6 +252,8 @@
   /// @brief Decides whether the tokens that the admitted turns may hand out are covered by the
   /// recorded ceilings, and makes a new spend if not.
   Admission Cover(const ProgramId& id, Program& program, TokenCount maximum) const;
+  /// @brief The lowest ceiling that applies now or once the queued records are durable.
+  static TokenCount LowestCeiling(const Program& program);
   /// @brief Makes the spend for the next append and queues its ceiling: the spent and covered
   /// tokens plus up to `ahead` tokens that the budget still allows. During a hand-over, the ceiling
   /// covers the admitted turns whole and nothing ahead.
--- a/src/gateway/turn_run_budget.cc
+++ b/src/gateway/turn_run_budget.cc
@@ -65,7 +65,7 @@
     // Keeps the run alive until the result of the append is known.
     const CoveredTokens covered{.from = covered_before, .to = claim_.covered};
     partition_->Append({.spend = ahead}, [self = shared_from_this(), covered](bool durable) {
-      if (!durable) {
+      if (!durable && !self->partition_->ledger().IsCovered(self->request_.program.program)) {
         self->unrecorded_.push_back(covered);
         self->CommitUnrecordedTokens();
       }
@@ -82,8 +82,9 @@
 }
 
 void TurnRun::OnReservationAppended(bool durable, TokenCount covered_before) {
-  if (durable || ended_) {
-    OnReservationDone(durable);
+  // A hand-over that was recorded before the partition was released covers the turn whole.
+  if (durable || ended_ || partition_->ledger().IsCovered(request_.program.program)) {
+    OnReservationDone(true);
     return;
   }
   // The partition has moved; its next owner reserves the tokens instead.
--- a/src/gateway/turn_run_test.cc
+++ b/src/gateway/turn_run_test.cc
@@ -22,8 +22,9 @@
   /// @brief Runs a turn whose requests to other daemons are stored and not answered.
   std::shared_ptr<TurnRun> Start(const std::string& id,
                                  const std::string& previous,
-                                 std::uint64_t maximum = kTurnTokens) {
-    TurnRequest turn = MakeTurnRequest(program, id, previous, 100 * kTurnTokens);
+                                 std::uint64_t maximum = kTurnTokens,
+                                 std::uint64_t budget = 100 * kTurnTokens) {
+    TurnRequest turn = MakeTurnRequest(program, id, previous, budget);
     turn.program.max_output = TokenCount(maximum);
     auto run = std::make_shared<TurnRun>(
         daemon.context, partition(), std::move(turn),
@@ -154,6 +155,43 @@
   BOOST_TEST(spend_requests.back().used_tokens.value() == kTurnTokens);
 }
 
+// A turn uses up its share while the hand-over of its partition is being recorded, which covers the
+// whole turn. Guards against a next owner that is asked for the tokens once more: it has none left
+// and the turn is broken off, or it counts them twice.
+BOOST_AUTO_TEST_CASE(turn_that_needs_a_record_during_a_handover_is_covered_by_it) {
+  constexpr std::uint64_t kMaximum = 3 * kTurnTokens;
+  // Too little to reserve tokens ahead.
+  constexpr std::uint64_t kBudget = 2 * kMaximum;
+  engine.hold_responses = true;
+  // At the first owner, the turn runs ahead of its record; at the second one, it waits for it.
+  for (const std::uint64_t epoch : {1, 2}) {
+    daemon.Assign(epoch);
+    const auto own_partition = partition();
+    sink = std::make_shared<RecordingSink>();
+    engine.held_response.reset();
+    commit_requests.clear();
+    program = ProgramId("p");
+    const auto run = Start("t" + std::to_string(epoch), "", kMaximum, kBudget);
+    Until([&] { return engine.held_response != nullptr; });
+    engine.held_response->Start(200, {{"content-type", "text/event-stream"}});
+    engine.held_response->Write("data: a\n\n");
+    Until([&] { return !sink->data().empty(); });
+    bool recorded = false;
+    own_partition->HandOver([&](bool durable) {
+      recorded = durable;
+      own_partition->Release();
+    });
+    engine.held_response->Write("data: b\n\ndata: c\n\n");
+    engine.held_response->End();
+    const std::string whole = "data: a\n\ndata: b\n\ndata: c\n\n";
+    net::RunUntil(loop, [&] { return run->waits_for_record() || sink->data() == whole; });
+    BOOST_TEST(run->waits_for_record() == (epoch == 2));
+    Until([&] { return recorded && !(commit_requests.empty() && spend_requests.empty()); });
+    BOOST_TEST(sink->data() == whole);
+    BOOST_TEST(spend_requests.empty());
+  }
+}
+
 // Guards against work at other daemons for a turn that is already durable.
 BOOST_AUTO_TEST_CASE(any_partition_request_is_cancelled_when_the_turn_ends) {
   const auto run = Start("t1", "");
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -59,13 +59,23 @@
   return {.program = id, .spent = program.spent, .ceiling = ceiling};
 }
 
-Admission ProgramLedger::Cover(const ProgramId& id, Program& program, TokenCount maximum) const {
-  const TokenCount needed = program.spent + program.covered;
-  // Queued records may lower the ceiling when they become durable, so use the lowest one.
+TokenCount ProgramLedger::LowestCeiling(const Program& program) {
   TokenCount ceiling = program.ceiling;
   for (const TokenCount queued : program.queued_ceilings) {
     ceiling = std::min(ceiling, queued);
   }
+  return ceiling;
+}
+
+bool ProgramLedger::IsCovered(const ProgramId& program) const {
+  const auto found = programs_.find(program);
+  return found != programs_.end() &&
+         found->second.spent + found->second.covered <= LowestCeiling(found->second);
+}
+
+Admission ProgramLedger::Cover(const ProgramId& id, Program& program, TokenCount maximum) const {
+  const TokenCount needed = program.spent + program.covered;
+  const TokenCount ceiling = LowestCeiling(program);
   if (needed <= ceiling) {
     return SpendGranted{};
   }
