--- a/src/gateway/turn_run_budget.cc
+++ b/src/gateway/turn_run_budget.cc
@@ -74,7 +74,9 @@
 }
 
 void TurnRun::ExtendClaim() {
-  if (!admitted_ || !request_.program.budget || UsedTokens() <= claim_.covered) {
+  // An engine that exceeds the maximum of the turn has no more tokens to ask for.
+  if (!admitted_ || !request_.program.budget || UsedTokens() <= claim_.covered ||
+      claim_.covered == claim_.maximum) {
     return;
   }
   const TokenCount covered_before = claim_.covered;
--- a/src/gateway/turn_run_test.cc
+++ b/src/gateway/turn_run_test.cc
@@ -55,6 +55,8 @@
   std::shared_ptr<ledger::Partition> partition() const {
     return daemon.ownership.FindServing(ledger::PartitionOf(program, kPartitionCount));
   }
+  /// @brief Lets the next owner record the last request for tokens.
+  void ConfirmSpend() { std::exchange(on_spend_recorded, nullptr)(true); }
   void AddTurnOfAnotherPartition(const std::string& id) {
     partition()->ledger().AddRecordedElsewhere(
         {{.id = ledger::TurnId(id), .input = "i", .output = "o"}});
@@ -150,7 +152,7 @@
   own_partition->Release();
   Until([&] { return !spend_requests.empty(); });
   BOOST_TEST(spend_requests.back().reserved_tokens.value() == 2 * kTurnTokens);
-  on_spend_recorded(true);
+  ConfirmSpend();
   Until([&] { return spend_requests.size() == 2; });
   BOOST_TEST(spend_requests.back().used_tokens.value() == kTurnTokens);
 }
@@ -192,6 +194,30 @@
   }
 }
 
+// Guards against requests without end for an engine that sends more than the maximum of the turn
+// while the turn waits for its next owner.
+BOOST_AUTO_TEST_CASE(turn_beyond_its_maximum_asks_for_no_more_tokens) {
+  engine.hold_responses = true;
+  daemon.Assign(2);
+  const auto own_partition = partition();
+  store.SetPartitionUnavailable(own_partition->id(), true);
+  const auto run = Start("t1", "");
+  Until([&] { return engine.held_response != nullptr; });
+  engine.held_response->Start(200, {{"content-type", "text/event-stream"}});
+  engine.held_response->Write("data: a\n\ndata: b\n\n");
+  engine.held_response->End();
+  Until([&] { return run->waits_for_record(); });
+  own_partition->Release();
+  for (std::size_t requests = 1; requests <= 2; ++requests) {
+    Until([&] { return spend_requests.size() == requests; });
+    BOOST_TEST(spend_requests.back().reserved_tokens > TokenCount());
+    ConfirmSpend();
+  }
+  Until([&] { return !commit_requests.empty(); });
+  BOOST_TEST(sink->data() == "data: a\n\ndata: b\n\n");
+  BOOST_TEST(spend_requests.size() == 2U);
+}
+
 // Guards against work at other daemons for a turn that is already durable.
 BOOST_AUTO_TEST_CASE(any_partition_request_is_cancelled_when_the_turn_ends) {
   const auto run = Start("t1", "");
