--- a/include/acaciaspring/ledger.h
+++ b/include/acaciaspring/ledger.h
@@ -166,9 +166,9 @@
   /// ceiling as spent, because the former owner may have handed out that many tokens. From then on,
   /// no turn runs ahead of its record, because one of the former owner may have done so.
   void FinishLoading();
-  /// @brief Lets one turn at a time run ahead of its record in programs that are first seen at
-  /// `since` or later. To be called only if no other owner has let a turn of such a program do so.
-  void AllowRunningAhead(MonotonicTime since) { running_ahead_since_ = since; }
+  /// @brief Lets one turn at a time run ahead of its record in programs that are first seen from
+  /// now on. To be called only if no other owner has let a turn of such a program do so.
+  void AllowRunningAhead() { running_ahead_allowed_ = true; }
 
   /// @brief Reserves `demand.maximum` tokens if the remaining budget allows it.
   Admission Admit(const TurnDemand& demand, MonotonicTime now);
@@ -261,8 +261,8 @@
 
   ProgramLedgerOptions options_;
   bool handing_over_ = false;
-  /// Programs that are first seen from then on may run ahead; empty if none may.
-  std::optional<MonotonicTime> running_ahead_since_ = MonotonicTime::min();
+  /// New programs may run ahead of their records.
+  bool running_ahead_allowed_ = true;
   std::unordered_map<ProgramId, Program> programs_;
   std::unordered_map<TurnId, StoredTurn> turns_;
 };
@@ -427,8 +427,8 @@
   void Fence();
   void Load();
   void OnRead(const ReadResult& result);
-  /// @brief Decides for which programs this owner may let turns run ahead of their records.
-  void LimitRunningAhead();
+  /// @brief Leaves a record if this is the first owner; only that one lets turns run ahead at once.
+  void MarkFirstOwner();
   void Flush();
   /// @brief Number of pieces at the front of the queue that fit into one append; at least one.
   std::size_t CountPiecesToSend() const;
@@ -458,6 +458,7 @@
   MonotonicTime pieces_sent_at_{};
   Duration retry_delay_{};
   std::deque<Checkpoint> checkpoints_;
+  MonotonicTime serving_since_{};
   RecordOffset trimmed_before_{};
   /// True if the last append failed and is being retried.
   bool retrying_ = false;
--- a/src/gateway/commit_relay.cc
+++ b/src/gateway/commit_relay.cc
@@ -113,6 +113,12 @@
         {.program = request.program, .budget = request.budget, .maximum = request.reserved_tokens},
         context_.loop.Now());
     if (!record.spend) {
+      context_.events.Write("reservation_refused",
+                            {{"program", request.program.value()},
+                             {"partition", static_cast<std::int64_t>(partition->id().value())},
+                             {"epoch", static_cast<std::int64_t>(partition->epoch().value())},
+                             {"tokens", static_cast<std::int64_t>(request.reserved_tokens.value())},
+                             {"budget", static_cast<std::int64_t>(request.budget.value())}});
       on_done({.exchange = request.exchange, .budget_exceeded = true});
       return;
     }
--- a/src/ledger/partition.cc
+++ b/src/ledger/partition.cc
@@ -104,25 +104,22 @@
     return;
   }
   ledger_.FinishLoading();
-  checkpoints_.push_back({.offset = next_offset_, .at = store_.Now()});
+  serving_since_ = store_.Now();
+  checkpoints_.push_back({.offset = next_offset_, .at = serving_since_});
   SetState(State::kServing);
-  LimitRunningAhead();
+  MarkFirstOwner();
   Flush();
 }
 
-void Partition::LimitRunningAhead() {
-  if (next_offset_ > RecordOffset()) {
-    // A former owner may have let turns run ahead of records that were lost. After this time it
-    // also forgets the spend of a program.
-    ledger_.AllowRunningAhead(store_.Now() + options_.ledger.program_retention);
-    return;
+void Partition::MarkFirstOwner() {
+  // Later owners find a record, and may not be the first to let a turn run ahead.
+  if (next_offset_ == RecordOffset()) {
+    Append({}, [this](bool durable) {
+      if (durable) {
+        ledger_.AllowRunningAhead();
+      }
+    });
   }
-  // The first owner leaves a record, from which later ones learn that they are not the first.
-  Append({}, [this](bool durable) {
-    if (durable) {
-      ledger_.AllowRunningAhead(store_.Now());
-    }
-  });
 }
 
 void Partition::Append(const Record& record, std::function<void(bool)> on_done) {
@@ -323,6 +320,10 @@
   }
   const MonotonicTime now = store_.Now();
   ledger_.Expire(store_.WallNow(), now);
+  // By now, a former owner would have forgotten the programs that it has let run ahead.
+  if (now - serving_since_ > options_.ledger.program_retention) {
+    ledger_.AllowRunningAhead();
+  }
   checkpoints_.push_back({.offset = next_offset_, .at = now});
   std::optional<RecordOffset> old;
   while (!checkpoints_.empty() && now - checkpoints_.front().at > options_.rewrite_age) {
--- a/src/ledger/partition_test.cc
+++ b/src/ledger/partition_test.cc
@@ -80,9 +80,11 @@
   const auto third = StartOwner(store, 3);
   store.Run(kSettleTime);
   BOOST_TEST(!runs_ahead(third));
-  // By now, the former owners would have forgotten the program too.
   const auto fourth = StartOwner(store, 4);
-  store.Run(kSettleTime + PartitionOptions{}.ledger.program_retention);
+  store.Run(kSettleTime);
+  BOOST_TEST(!runs_ahead(fourth));
+  store.Run(PartitionOptions{}.ledger.program_retention);
+  fourth->Maintain();
   BOOST_TEST(!runs_ahead(fourth));
   BOOST_TEST(std::holds_alternative<SpendGranted>(fourth->ledger().Admit(
       {.program = ProgramId("new"), .budget = TokenCount(300), .maximum = TokenCount(100)},
--- a/src/ledger/program_ledger.cc
+++ b/src/ledger/program_ledger.cc
@@ -23,7 +23,7 @@
 }
 
 void ProgramLedger::FinishLoading() {
-  running_ahead_since_.reset();
+  running_ahead_allowed_ = false;
   for (auto& [id, program] : programs_) {
     program.spent = std::max(program.spent, program.ceiling);
   }
@@ -97,7 +97,7 @@
   const auto [found, is_new] = programs_.try_emplace(demand.program);
   Program& program = found->second;
   if (is_new) {
-    program.may_run_ahead = running_ahead_since_ && now >= *running_ahead_since_;
+    program.may_run_ahead = running_ahead_allowed_;
   }
   program.last_active = now;
   program.largest_turn = std::max(program.largest_turn, demand.maximum);
