Send long messages between daemons in parts

Cause: a message was one frame of at most 8 MiB and PeerStream::Send threw above that, but nothing bounds a chain. The daemon that had the conversation logged "message exceeds the frame size limit: bytes" and sent no reply; the search ended after 0.6 s. Commits and forwarded turns had the same limit, and the exception ended the handling of other messages in the same loop.

Change: messages above 256 KiB are offered, accepted within a budget of memory and sent in parts behind which other messages do not wait. Chains, turns and commits are encoded only when they may be sent. A search is told of a long chain at once, fetches it from one daemon, tries the next if that fails, and has until the turn's deadline. A search that fails logs its reason.

Why it works: no message that carries turns has a length limit below 256 MiB any more, and the size of a chain changes only the time of its transfer.

--- a/include/acaciaspring/net.h
+++ b/include/acaciaspring/net.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
 #include <optional>
 #include <string>
@@ -388,15 +389,88 @@
   std::uint64_t replayed = 0;
 };
 
+class TransferLease;
+
+/// @brief Limits the memory for messages that are sent or received in parts, over all connections
+/// that share the budget. Leases are granted in the order in which they were requested. One that is
+/// larger than the limit is granted alone.
+class TransferBudget {
+ public:
+  explicit TransferBudget(std::size_t limit_bytes) : limit_bytes_(limit_bytes) {}
+  TransferBudget(const TransferBudget&) = delete;
+  TransferBudget& operator=(const TransferBudget&) = delete;
+
+  std::size_t used_bytes() const { return used_bytes_; }
+  std::size_t waiting() const { return waiting_.size(); }
+
+ private:
+  friend class TransferLease;
+  void GrantWaiting();
+
+  std::size_t limit_bytes_;
+  std::size_t used_bytes_ = 0;
+  std::list<TransferLease*> waiting_;
+};
+
+/// @brief A part of a TransferBudget that is requested when the lease is made and returned when it
+/// is destroyed. The budget must outlive it.
+class TransferLease {
+ public:
+  /// @brief `on_granted` is called if the lease has to wait, once it no longer does. It must not
+  /// destroy leases.
+  TransferLease(TransferBudget& budget, std::size_t bytes, std::function<void()> on_granted);
+  ~TransferLease();
+  TransferLease(const TransferLease&) = delete;
+  TransferLease& operator=(const TransferLease&) = delete;
+  bool granted() const { return granted_; }
+
+ private:
+  friend class TransferBudget;
+  TransferBudget& budget_;
+  std::size_t bytes_;
+  std::function<void()> on_granted_;
+  bool granted_ = false;
+};
+
+/// @brief State shared by the peer connections of a daemon.
+struct PeerResources {
+  /// @brief `transfer_bytes` limits the messages being sent in parts, and those being received.
+  explicit PeerResources(std::size_t transfer_bytes = std::size_t{32} << 20)
+      : sending(transfer_bytes), receiving(transfer_bytes) {}
+  DropCounters drops = {};
+  TransferBudget sending;
+  TransferBudget receiving;
+};
+
+/// @brief Identifies messages of a connection that arrive in the order in which they were sent.
+/// Messages of other streams may overtake one that is sent in parts.
+using MessageStreamId = StrongNumber<struct MessageStreamIdTag>;
+
+/// @brief A message that is encoded only when the peer has room for it.
+struct DeferredMessage {
+  MessageStreamId stream = {};
+  /// Size for which the peer reserves memory. The payload may be larger by one frame at most.
+  std::size_t bytes = 0;
+  /// Returns the payload, or nothing if the message is not to be sent any more. Must not use the
+  /// connection.
+  std::function<std::optional<std::string>()> encode = {};
+};
+
 /// @brief An authenticated message stream to another daemon over TCP. Destroying it closes the
-/// connection without further callbacks. An invalid frame closes the connection.
+/// connection without further callbacks. An invalid frame closes the connection. Messages above
+/// wire::kMaxWholeMessageBytes are sent in parts once the peer has room for them.
 class PeerConnection {
  public:
   virtual ~PeerConnection() = default;
   /// @brief Queues one message. Does nothing after the connection is closed. Throws
-  /// MessageTooLargeError above wire::kMaxFrameBytes. Closes the connection if the peer does not
+  /// MessageTooLargeError above wire::kMaxMessageBytes. Closes the connection if the peer does not
   /// read and too many bytes are queued.
-  virtual void Send(std::string_view payload) = 0;
+  virtual void Send(MessageStreamId stream, std::string_view payload) = 0;
+  void Send(std::string_view payload) { Send(MessageStreamId(), payload); }
+  /// @brief Like Send(), for a message that need not be in memory until it is sent.
+  virtual void SendDeferred(DeferredMessage message) = 0;
+  /// @brief Drops the messages of a stream that have not been sent completely.
+  virtual void Withdraw(MessageStreamId stream) = 0;
   virtual void Close() = 0;
   virtual bool open() const = 0;
   /// @brief Bytes queued and not yet handed to the socket.
@@ -444,13 +518,13 @@
   Handles* handles_;
 };
 
-/// @brief Starts a connection. Messages sent before on_open are queued. `drops` must outlive the
-/// connection.
+/// @brief Starts a connection. Messages sent before on_open are queued. `resources` must outlive
+/// the connection.
 PeerConnectionPtr ConnectPeer(Loop& loop,
                               const Address& address,
                               const std::string& cluster_key,
                               PeerCallbacks callbacks,
-                              DropCounters& drops);
+                              PeerResources& resources);
 
 /// @brief Listens for authenticated connections of other daemons.
 class PeerListener {
@@ -463,7 +537,7 @@
                const Address& listen,
                std::string cluster_key,
                OnAccept on_accept,
-               DropCounters& drops);
+               PeerResources& resources);
   ~PeerListener();
   Address address() const;
 
--- a/include/acaciaspring/wire.h
+++ b/include/acaciaspring/wire.h
@@ -137,7 +137,13 @@
   return value;
 }
 
-inline constexpr std::size_t kMaxFrameBytes = std::size_t{8} << 20;
+/// @brief Largest message that is sent in one frame. Other messages wait for at most one such
+/// frame.
+inline constexpr std::size_t kMaxWholeMessageBytes = std::size_t{256} << 10;
+/// @brief Largest payload of a frame: a whole message and the kind of the frame.
+inline constexpr std::size_t kMaxFrameBytes = kMaxWholeMessageBytes + 64;
+/// @brief Largest message. The length of a conversation has no limit of its own.
+inline constexpr std::size_t kMaxMessageBytes = std::size_t{256} << 20;
 inline constexpr std::size_t kMaxDatagramBytes = 1400;
 inline constexpr std::size_t kMacBytes = 16;
 inline constexpr std::size_t kNonceBytes = 16;
--- a/src/daemon/peer_network.cc
+++ b/src/daemon/peer_network.cc
@@ -14,7 +14,7 @@
     return MakeCallbacks(channel);
   };
   listener_ = std::make_unique<net::PeerListener>(loop_, options_.listen, options_.cluster_key,
-                                                  std::move(on_accept), drops_);
+                                                  std::move(on_accept), resources_);
 }
 
 PeerNetwork::~PeerNetwork() {
@@ -57,7 +57,7 @@
   outgoing_[peer] = channel;
   channels_[channel] = Channel{nullptr, peer};
   channels_[channel].connection = net::ConnectPeer(loop_, address->second, options_.cluster_key,
-                                                   MakeCallbacks(channel), drops_);
+                                                   MakeCallbacks(channel), resources_);
   Send(channel, wire::Hello{options_.self, options_.incarnation});
   return channel;
 }
@@ -108,7 +108,7 @@
   try {
     message = wire::Decode<wire::Message>(payload);
   } catch (const wire::DecodeError& error) {
-    ++drops_.malformed;
+    ++resources_.drops.malformed;
     LOG(WARNING) << "dropped a message on channel " << channel << ": " << error.what();
     return;
   }
--- a/src/daemon/peer_network.h
+++ b/src/daemon/peer_network.h
@@ -51,7 +51,7 @@
   /// @brief Sends a message; does nothing if the channel is closed.
   void Send(ChannelId channel, const wire::Message& message);
 
-  const net::DropCounters& drops() const { return drops_; }
+  const net::DropCounters& drops() const { return resources_.drops; }
   std::size_t open_channels() const { return channels_.size(); }
 
  private:
@@ -70,7 +70,7 @@
   net::Loop& loop_;
   PeerNetworkOptions options_;
   PeerHandlers handlers_;
-  net::DropCounters drops_;
+  net::PeerResources resources_;
   std::map<DaemonId, net::Address> addresses_;
   /// Channels that this daemon opened.
   std::map<DaemonId, ChannelId> outgoing_;
--- a/src/gateway/commit_relay.cc
+++ b/src/gateway/commit_relay.cc
@@ -19,13 +19,9 @@
 }  // namespace
 
 Duration CommitRelay::NextRecorderDelay(const CommitRequest& request) const {
-  std::size_t bytes = 0;
-  for (const ledger::Turn& turn : request.turns) {
-    bytes += turn.input.size() + turn.output.size();
-  }
   return kNextRecorderDelay +
-         kTransferMultiple *
-             ledger::TransferTime(bytes, context_.options.partition.bytes_per_second);
+         kTransferMultiple * ledger::TransferTime(EncodedBytes(request.turns),
+                                                  context_.options.partition.bytes_per_second);
 }
 
 ledger::PartitionId CommitRelay::PartitionFor(const CommitRequest& request) const {
@@ -66,11 +62,29 @@
   }
   const auto owner = ownership_.RemoteOwner(partition);
   PeerLinks* links = links_();
-  if (owner && links != nullptr && links->Send(*owner, pending.request)) {
+  if (owner && links != nullptr && SendTo(*links, *owner, id)) {
     pending.sent_to = *owner;
   }
 }
 
+bool CommitRelay::SendTo(PeerLinks& links, const DaemonId& daemon, ExchangeId id) {
+  const CommitRequest& request = pending_.at(id).request;
+  const std::size_t bytes = EncodedBytes(request.turns);
+  if (bytes <= wire::kMaxWholeMessageBytes) {
+    return links.Send(daemon, request);
+  }
+  const CommitRequest header{.exchange = id};
+  return links.Defer(daemon, {.stream = StreamOf(header),
+                              .bytes = bytes,
+                              .make = [this, daemon, id]() -> std::optional<PeerMessage> {
+                                const auto found = pending_.find(id);
+                                if (found == pending_.end() || found->second.sent_to != daemon) {
+                                  return std::nullopt;
+                                }
+                                return found->second.request;
+                              }});
+}
+
 void CommitRelay::DispatchToRecorder(ExchangeId id, Pending& pending) {
   const auto local = ownership_.WritablePartitions();
   PeerLinks* links = links_();
@@ -88,7 +102,7 @@
                             },
                             [&](const PeerRecorder& recorder) {
                               pending.sent_to = peers[recorder.index];
-                              return links->Send(pending.sent_to, pending.request);
+                              return SendTo(*links, pending.sent_to, id);
                             },
                             [](const NoRecorder&) { return false; }},
                  choice);
--- a/src/gateway/commit_relay.h
+++ b/src/gateway/commit_relay.h
@@ -44,6 +44,8 @@
   };
 
   void Dispatch(ExchangeId id);
+  /// @brief Sends a pending request to a daemon. Returns false if there is no connection.
+  bool SendTo(PeerLinks& links, const DaemonId& daemon, ExchangeId id);
   void DispatchToRecorder(ExchangeId id, Pending& pending);
   /// @brief Time after which another recorder is asked.
   Duration NextRecorderDelay(const CommitRequest& request) const;
--- a/src/gateway/leaving_call_test.cc
+++ b/src/gateway/leaving_call_test.cc
@@ -263,13 +263,15 @@
   std::optional<TurnHead> head;
   bool ended = false;
   std::optional<HttpError> error;
-  const auto reply = [&](const PeerMessage& message) {
-    std::visit(Overloaded{[&](const TurnHead& received) { head = received; },
-                          [&](const TurnEnd&) { ended = true; },
-                          [&](const TurnRejected& rejected) { error = rejected.error; },
-                          [](const auto&) {}},
-               message);
-  };
+  const ReplyFunction reply(
+      [&](const PeerMessage& message) {
+        std::visit(Overloaded{[&](const TurnHead& received) { head = received; },
+                              [&](const TurnEnd&) { ended = true; },
+                              [&](const TurnRejected& rejected) { error = rejected.error; },
+                              [](const auto&) {}},
+                   message);
+      },
+      [](const DeferredPeerMessage&) {});
   daemon.router.OnMessage(DaemonId("peer"), MakeTurnRequest(ProgramId("p"), "a", "", 1000), reply);
   RunUntil(loop, store, [&] { return ended; });
   BOOST_REQUIRE(head.has_value());
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -16,14 +16,39 @@
 constexpr Duration kReconnectDelay = std::chrono::milliseconds(200);
 // The first attempt after a loss shows whether the process ended or only the connection broke.
 constexpr Duration kFirstReconnectDelay = std::chrono::milliseconds(20);
+// Share of the memory limit of the daemon for messages being sent, and for those being received.
+constexpr std::size_t kTransferDivisor = 8;
+constexpr std::size_t kDefaultTransferBytes = std::size_t{32} << 20;
+
+std::size_t TransferBytes(const GatewayOptions& options) {
+  return options.memory_bytes ? *options.memory_bytes / kTransferDivisor : kDefaultTransferBytes;
+}
+
+void SendEncoded(net::PeerConnection& connection, const PeerMessage& message) {
+  connection.Send(StreamOf(message), EncodePeerMessage(message));
+}
+
+void SendDeferred(net::PeerConnection& connection, DeferredPeerMessage message) {
+  connection.SendDeferred(
+      {.stream = message.stream,
+       .bytes = message.bytes,
+       .encode = [make = std::move(message.make)]() -> std::optional<std::string> {
+         const auto made = make();
+         return made ? std::optional(EncodePeerMessage(*made)) : std::nullopt;
+       }});
+}
 
 }  // namespace
 
 PeerLinks::PeerLinks(Context& context, std::string cluster_key, PeerHandlers handlers)
-    : context_(context), cluster_key_(std::move(cluster_key)), handlers_(std::move(handlers)) {
+    : context_(context),
+      cluster_key_(std::move(cluster_key)),
+      handlers_(std::move(handlers)),
+      resources_(TransferBytes(context.options)) {
   listener_ = std::make_unique<net::PeerListener>(
       context_.loop, context_.options.self.peer_address, cluster_key_,
-      [this](net::PeerConnectionPtr connection) { return Accept(std::move(connection)); }, drops_);
+      [this](net::PeerConnectionPtr connection) { return Accept(std::move(connection)); },
+      resources_);
 }
 
 PeerLinks::~PeerLinks() {
@@ -59,7 +84,7 @@
   try {
     return DecodePeerMessage(payload);
   } catch (const wire::DecodeError& error) {
-    ++drops_.malformed;
+    ++resources_.drops.malformed;
     LOG(WARNING) << "dropped malformed peer message of " << payload.size()
                  << " bytes: " << error.what();
     return std::nullopt;
@@ -110,12 +135,19 @@
     handlers_.on_crashes(id, *crashes);
     return;
   }
+  const std::weak_ptr<Incoming> weak = incoming;
   handlers_.on_message(id, std::move(*message),
-                       [weak = std::weak_ptr<Incoming>(incoming)](const PeerMessage& reply) {
-                         if (const auto live = weak.lock()) {
-                           live->connection->Send(EncodePeerMessage(reply));
-                         }
-                       });
+                       ReplyFunction(
+                           [weak](const PeerMessage& reply) {
+                             if (const auto live = weak.lock()) {
+                               SendEncoded(*live->connection, reply);
+                             }
+                           },
+                           [weak](DeferredPeerMessage reply) {
+                             if (const auto live = weak.lock()) {
+                               SendDeferred(*live->connection, std::move(reply));
+                             }
+                           }));
 }
 
 void PeerLinks::SetMembers(const std::vector<Member>& members) {
@@ -168,13 +200,16 @@
        .on_message = [this,
                       daemon](std::string_view payload) { OnOutgoingMessage(daemon, payload); },
        .on_closed = [this, daemon] { OnOutgoingClosed(daemon); }},
-      drops_);
+      resources_);
 }
 
 void PeerLinks::OnOutgoingMessage(const DaemonId& daemon, std::string_view payload) {
   if (auto message = Decode(payload)) {
-    handlers_.on_message(daemon, std::move(*message),
-                         [this, daemon](const PeerMessage& reply) { Send(daemon, reply); });
+    handlers_.on_message(
+        daemon, std::move(*message),
+        ReplyFunction(
+            [this, daemon](const PeerMessage& reply) { Send(daemon, reply); },
+            [this, daemon](DeferredPeerMessage reply) { Defer(daemon, std::move(reply)); }));
   } else if (IsTurnResponse(payload)) {
     // Nothing tells which response now has a gap, so all that use the connection are broken off.
     outgoing_.at(daemon).connection->Close();
@@ -208,7 +243,26 @@
   if (found == outgoing_.end() || !IsOpen(daemon)) {
     return false;
   }
-  found->second.connection->Send(EncodePeerMessage(message));
+  const net::PeerConnectionPtr connection = found->second.connection;
+  if (std::holds_alternative<TurnCancelled>(message)) {
+    // The request need not arrive first.
+    connection->Withdraw(StreamOf(message));
+  }
+  try {
+    SendEncoded(*connection, message);
+  } catch (const net::MessageTooLargeError& error) {
+    context_.events.Write("peer_message_too_large",
+                          {{"peer", daemon.value()}, {"fault", std::string(error.what())}});
+    return false;
+  }
+  return true;
+}
+
+bool PeerLinks::Defer(const DaemonId& daemon, DeferredPeerMessage message) {
+  if (!IsOpen(daemon)) {
+    return false;
+  }
+  SendDeferred(*outgoing_.at(daemon).connection, std::move(message));
   return true;
 }
 
@@ -216,7 +270,7 @@
   const std::string payload = EncodePeerMessage(message);
   for (const auto& [id, link] : outgoing_) {
     if (IsOpen(id)) {
-      link.connection->Send(payload);
+      link.connection->Send(StreamOf(message), payload);
     }
   }
 }
@@ -244,10 +298,11 @@
 void PeerLinks::SendStatusIf(const PeerStatus& status,
                              const std::function<bool(const Outgoing&)>& is_due) {
   const std::string payload = EncodePeerMessage(status);
+  const net::MessageStreamId stream = StreamOf(status);
   const MonotonicTime now = context_.loop.Now();
   for (auto& [id, link] : outgoing_) {
     if (IsOpen(id) && is_due(link)) {
-      link.connection->Send(payload);
+      link.connection->Send(stream, payload);
       link.last_status_sent_at = now;
       link.last_sent_at = now;
     }
@@ -256,10 +311,11 @@
 
 void PeerLinks::SendLoad(const PeerLoad& load) {
   const std::string payload = EncodePeerMessage(load);
+  const net::MessageStreamId stream = StreamOf(load);
   const MonotonicTime now = context_.loop.Now();
   for (auto& [id, link] : outgoing_) {
     if (link.member.zone == context_.options.self.zone && IsOpen(id)) {
-      link.connection->Send(payload);
+      link.connection->Send(stream, payload);
       link.last_sent_at = now;
     }
   }
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -16,9 +16,31 @@
 
 namespace acaciaspring::gateway {
 
+/// @brief A message that is made only when the other daemon has room for it.
+struct DeferredPeerMessage {
+  net::MessageStreamId stream = {};
+  /// Approximate size.
+  std::size_t bytes = 0;
+  /// Returns nothing if the message is not to be sent any more.
+  std::function<std::optional<PeerMessage>()> make = {};
+};
+
 /// @brief Sends a reply to the daemon that a message came from. Has no effect once the connection
 /// is closed.
-using ReplyFunction = std::function<void(const PeerMessage&)>;
+class ReplyFunction {
+ public:
+  using Send = std::function<void(const PeerMessage&)>;
+  using SendDeferred = std::function<void(DeferredPeerMessage)>;
+
+  ReplyFunction(Send send, SendDeferred send_deferred)
+      : send_(std::move(send)), send_deferred_(std::move(send_deferred)) {}
+  void operator()(const PeerMessage& message) const { send_(message); }
+  void Defer(DeferredPeerMessage message) const { send_deferred_(std::move(message)); }
+
+ private:
+  Send send_;
+  SendDeferred send_deferred_;
+};
 
 /// @brief A daemon that is ready, and the correction of its capacity with its age.
 struct ReadyPeer {
@@ -57,6 +79,8 @@
   void SetMembers(const std::vector<Member>& members);
   /// @brief Returns false if there is no open connection.
   bool Send(const DaemonId& daemon, const PeerMessage& message);
+  /// @brief Like Send(), for a message that can be larger than one frame.
+  bool Defer(const DaemonId& daemon, DeferredPeerMessage message);
   /// @brief Sends a message to all daemons with an open connection.
   void SendToAll(const PeerMessage& message);
   bool IsOpen(const DaemonId& daemon) const;
@@ -125,7 +149,7 @@
   HeartbeatPeriods periods_;
   std::string cluster_key_;
   PeerHandlers handlers_;
-  net::DropCounters drops_;
+  net::PeerResources resources_;
   std::unordered_map<DaemonId, Outgoing> outgoing_;
   std::map<Incoming*, std::shared_ptr<Incoming>> incoming_;
   std::unordered_map<DaemonId, LastStatus> last_statuses_;
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "acaciaspring/net.h"
 #include "acaciaspring/wire.h"
 #include "src/gateway/crash_monitor.h"
 #include "src/gateway/endpoint_table.h"
@@ -176,13 +177,27 @@
 
 struct ChainReply {
   ExchangeId exchange = {};
-  /// Oldest first; empty if the sender does not have the complete chain.
+  /// Oldest first; empty if the sender does not have the complete chain, or has not sent it yet.
   std::vector<ledger::Turn> turns = {};
   /// Partitions that do not contain the turn.
   std::vector<ledger::PartitionId> searched = {};
+  /// If set, the sender has a chain of about this size, which is to be fetched.
+  std::uint64_t chain_bytes = 0;
+  /// Why a chain that was to be fetched is not sent.
+  std::string fault = {};
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(exchange, turns, searched);
+    archive(exchange, turns, searched, chain_bytes, fault);
+  }
+};
+
+/// @brief Requests a chain that the receiver has announced.
+struct ChainFetch {
+  ExchangeId exchange = {};
+  ledger::TurnId turn = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(exchange, turn);
   }
 };
 
@@ -264,11 +279,18 @@
                                  ConfigurationQuery,
                                  ConfigurationReply,
                                  PeerPermitRequest,
-                                 PeerPermitGrant>;
+                                 PeerPermitGrant,
+                                 ChainFetch>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError if the message is malformed.
 PeerMessage DecodePeerMessage(std::string_view bytes);
+/// @brief The messages of one turn, in each direction, arrive in order. Other messages are ordered
+/// only if they have the same type and exchange.
+net::MessageStreamId StreamOf(const PeerMessage& message);
+/// @brief Upper bound for the size of encoded turns.
+std::size_t EncodedBytes(const std::vector<ledger::Turn>& turns);
+std::size_t EncodedBytes(const std::vector<const ledger::Turn*>& turns);
 /// @brief True if the bytes, which need not be a valid message, have the type of one that is part
 /// of the response to a turn.
 bool IsTurnResponse(std::string_view bytes);
--- a/src/gateway/peer_response_test.cc
+++ b/src/gateway/peer_response_test.cc
@@ -28,7 +28,7 @@
             self.peer_address,
             kClusterKey,
             [this](net::PeerConnectionPtr connection) { return Accept(std::move(connection)); },
-            drops),
+            resources),
         heartbeat(loop.Every(std::chrono::milliseconds(20), [this] { SendStatus(); })) {}
 
   net::PeerCallbacks Accept(net::PeerConnectionPtr connection) {
@@ -37,7 +37,7 @@
   }
   void SendStatus() {
     if (to_front == nullptr) {
-      to_front = net::ConnectPeer(loop, front_address, kClusterKey, {}, drops);
+      to_front = net::ConnectPeer(loop, front_address, kClusterKey, {}, resources);
       to_front->Send(EncodePeerMessage(PeerHello{.member = self}));
     }
     PeerStatus status{.ready = true};
@@ -79,7 +79,7 @@
 std::optional<std::size_t> malformed;
 int requests = 0;
 int cancelled = 0;
-net::DropCounters drops;
+net::PeerResources resources;
 net::PeerConnectionPtr from_front;
 net::PeerConnectionPtr to_front;
 net::PeerListener listener;
--- a/src/gateway/pending_exchange.h
+++ b/src/gateway/pending_exchange.h
@@ -13,14 +13,14 @@
 template <class Pending, class Result>
 void FinishExchange(std::unordered_map<ExchangeId, Pending>& pending,
                     ExchangeId id,
-                    const Result& result) {
+                    Result result) {
   const auto found = pending.find(id);
   if (found == pending.end()) {
     return;
   }
   const auto on_done = std::move(found->second.on_done);
   pending.erase(found);
-  on_done(result);
+  on_done(std::move(result));
 }
 
 }  // namespace acaciaspring::gateway
--- a/src/gateway/turn_router.cc
+++ b/src/gateway/turn_router.cc
@@ -76,19 +76,38 @@
   }
   const auto owner = ownership_.RemoteOwner(partition);
   PeerLinks* links = links_();
-  if (owner && links != nullptr) {
+  if (owner && links != nullptr && SendToOwner(*links, *owner, id)) {
+    turn.state = State::kRemote;
+    turn.owner = *owner;
+    turn.hold_started = false;
+    turn.hold_timer.Cancel();
+    return;
+  }
+  HoldForOwner(id);
+}
+
+bool TurnRouter::SendToOwner(PeerLinks& links, const DaemonId& owner, ExchangeId id) {
+  const auto update = [this](SubmittedTurn& turn) {
     turn.request.remaining_us = std::chrono::duration_cast<Duration>(
                                     turn.deadline - kOwnerResponseMargin - context_.loop.Now())
                                     .count();
-    if (links->Send(*owner, turn.request)) {
-      turn.state = State::kRemote;
-      turn.owner = *owner;
-      turn.hold_started = false;
-      turn.hold_timer.Cancel();
-      return;
-    }
-  }
-  HoldForOwner(id);
+  };
+  SubmittedTurn& turn = submitted_.at(id);
+  update(turn);
+  if (turn.request.body.size() <= wire::kMaxWholeMessageBytes) {
+    return links.Send(owner, turn.request);
+  }
+  const TurnRequest header{.exchange = id};
+  return links.Defer(owner, {.stream = StreamOf(header),
+                             .bytes = turn.request.body.size(),
+                             .make = [this, owner, id, update]() -> std::optional<PeerMessage> {
+                               SubmittedTurn* const waiting = FindRemote(id, owner);
+                               if (waiting == nullptr) {
+                                 return std::nullopt;
+                               }
+                               update(*waiting);
+                               return waiting->request;
+                             }});
 }
 
 void TurnRouter::HoldForOwner(ExchangeId id) {
@@ -140,9 +159,9 @@
 TurnDependencies TurnRouter::MakeDependencies() {
   return {
       .find_chain =
-          [this](const ledger::TurnId& turn,
-                 std::function<void(const ChainSearchResult&)> on_done) {
-            chain_search_.Find(turn, std::move(on_done));
+          [this](const ledger::TurnId& turn, MonotonicTime deadline,
+                 std::function<void(ChainSearchResult)> on_done) {
+            chain_search_.Find(turn, deadline, std::move(on_done));
           },
       .preferred_endpoint =
           [this](const ProgramContext& program) {
@@ -275,7 +294,8 @@
                    }
                  },
                  [&](ChainQuery& query) { chain_search_.HandleQuery(query, reply); },
-                 [&](ChainReply& found) { chain_search_.OnReply(found); },
+                 [&](ChainReply& found) { chain_search_.OnReply(daemon, std::move(found)); },
+                 [&](ChainFetch& fetch) { chain_search_.HandleFetch(fetch, reply); },
                  [&](CommitRequest& commit) { commit_relay_.HandleRequest(commit, reply); },
                  [&](CommitReply& result) { commit_relay_.OnReply(result); }},
       message);
@@ -379,6 +399,7 @@
 
 void TurnRouter::OnPeerDisconnected(const DaemonId& daemon) {
   commit_relay_.OnPeerDisconnected(daemon);
+  chain_search_.OnPeerDisconnected(daemon);
   std::vector<ExchangeId> failed;
   for (const auto& [id, turn] : submitted_) {
     if (turn.state == State::kRemote && turn.owner == daemon) {
--- a/src/gateway/turn_router.h
+++ b/src/gateway/turn_router.h
@@ -56,6 +56,8 @@
   };
 
   void Dispatch(ExchangeId id);
+  /// @brief Sends a request to the owner of its partition. Returns false if there is no connection.
+  bool SendToOwner(PeerLinks& links, const DaemonId& owner, ExchangeId id);
   void RunLocally(ExchangeId id, std::shared_ptr<ledger::Partition> partition);
   void HoldForOwner(ExchangeId id);
   void OnDeadline(ExchangeId id);
--- a/src/gateway/turn_run.cc
+++ b/src/gateway/turn_run.cc
@@ -69,13 +69,14 @@
 
 void TurnRun::SearchChain() {
   dependencies_.find_chain(
-      request_.program.previous_turn, [weak = weak_from_this()](const ChainSearchResult& result) {
+      request_.program.previous_turn, deadline_,
+      [weak = weak_from_this()](ChainSearchResult result) {
         const auto self = weak.lock();
         if (!self || self->ended_) {
           return;
         }
-        std::visit(Overloaded{[&](const ChainFound& found) {
-                                self->imported_turns_ = found.turns;
+        std::visit(Overloaded{[&](ChainFound& found) {
+                                self->imported_turns_ = std::move(found.turns);
                                 std::vector<const ledger::Turn*> chain;
                                 for (const ledger::Turn& turn : self->imported_turns_) {
                                   chain.push_back(&turn);
--- a/src/gateway/turn_run.h
+++ b/src/gateway/turn_run.h
@@ -29,7 +29,8 @@
 
 /// @brief Functions that a turn needs from the daemon that runs it.
 struct TurnDependencies {
-  std::function<void(const ledger::TurnId&, std::function<void(const ChainSearchResult&)>)>
+  /// Searches until the given time at most.
+  std::function<void(const ledger::TurnId&, MonotonicTime, std::function<void(ChainSearchResult)>)>
       find_chain = {};
   std::function<EndpointId(const ProgramContext&)> preferred_endpoint = {};
   std::function<void(const ProgramContext&, const EndpointId&)> remember_endpoint = {};
--- a/src/net/peer_connection.cc
+++ b/src/net/peer_connection.cc
@@ -13,7 +13,12 @@
  public:
   explicit PeerHandle(std::shared_ptr<PeerStream> stream) : stream_(std::move(stream)) {}
   ~PeerHandle() override { stream_->CloseWithoutCallback(); }
-  void Send(std::string_view payload) override { stream_->Send(payload); }
+  using PeerConnection::Send;
+  void Send(MessageStreamId stream, std::string_view payload) override {
+    stream_->Send(stream, payload);
+  }
+  void SendDeferred(DeferredMessage message) override { stream_->SendDeferred(std::move(message)); }
+  void Withdraw(MessageStreamId stream) override { stream_->Withdraw(stream); }
   void Close() override { stream_->Close(); }
   bool open() const override { return stream_->open(); }
   std::size_t pending_bytes() const override { return stream_->pending_bytes(); }
@@ -33,9 +38,9 @@
                               const Address& address,
                               const std::string& cluster_key,
                               PeerCallbacks callbacks,
-                              DropCounters& drops) {
+                              PeerResources& resources) {
   auto stream =
-      std::make_shared<PeerStream>(loop, PeerStream::Role::kInitiator, cluster_key, drops);
+      std::make_shared<PeerStream>(loop, PeerStream::Role::kInitiator, cluster_key, resources);
   stream->SetCallbacks(std::move(callbacks));
   stream->Connect(address);
   return MakePeerHandle(std::move(stream));
@@ -45,7 +50,7 @@
   Loop& loop;
   std::string cluster_key;
   OnAccept on_accept;
-  DropCounters& drops;
+  PeerResources& resources;
   std::unique_ptr<uv_tcp_t> listener;
 
   void OnConnection(int status) {
@@ -54,7 +59,7 @@
       return;
     }
     auto stream =
-        std::make_shared<PeerStream>(loop, PeerStream::Role::kAcceptor, cluster_key, drops);
+        std::make_shared<PeerStream>(loop, PeerStream::Role::kAcceptor, cluster_key, resources);
     if (!stream->Accept(reinterpret_cast<uv_stream_t*>(listener.get()))) {
       return;
     }
@@ -70,11 +75,11 @@
                            const Address& listen,
                            std::string cluster_key,
                            OnAccept on_accept,
-                           DropCounters& drops)
+                           PeerResources& resources)
     : impl_(new Impl{.loop = loop,
                      .cluster_key = std::move(cluster_key),
                      .on_accept = std::move(on_accept),
-                     .drops = drops,
+                     .resources = resources,
                      .listener = std::make_unique<uv_tcp_t>()}) {
   uv_tcp_init(loop.raw(), impl_->listener.get());
   impl_->listener->data = impl_.get();
--- a/src/net/peer_stream.cc
+++ b/src/net/peer_stream.cc
@@ -19,18 +19,23 @@
 // messages to a failed VM would wait for the default of 15 minutes.
 constexpr unsigned kTcpUserTimeoutMs = 10'000;
 constexpr unsigned kKeepAliveSeconds = 5;
-// Limits the memory for a peer that does not read. Large enough for several messages of maximum
-// size.
-constexpr std::size_t kMaxPendingBytes = 8 * wire::kMaxFrameBytes;
+// Limits the memory for a peer that does not read. Messages that wait for the peer to accept them
+// do not count.
+constexpr std::size_t kMaxPendingBytes = std::size_t{64} << 20;
 
 }  // namespace
 
-PeerStream::PeerStream(Loop& loop, Role role, std::string cluster_key, DropCounters& drops)
+PeerStream::PeerStream(Loop& loop, Role role, std::string cluster_key, PeerResources& resources)
     : loop_(loop),
       role_(role),
       cluster_key_(std::move(cluster_key)),
+      resources_(resources),
       nonce_(wire::MakeNonce()),
-      reader_(drops) {}
+      reader_(resources.drops),
+      sender_(resources.sending,
+              [this] { loop_.Post([weak = weak_from_this()] { WriteFramesOf(weak); }); }),
+      receiver_(resources.receiving,
+                [this] { loop_.Post([weak = weak_from_this()] { WriteFramesOf(weak); }); }) {}
 
 void PeerStream::Connect(const Address& address) {
   const sockaddr_in socket_address = ToSocketAddress(address);
@@ -105,7 +110,7 @@
     ReceiveNonce();
   }
   if (state_ == State::kOpen) {
-    DeliverPayloads();
+    DeliverFrames();
   }
 }
 
@@ -125,28 +130,84 @@
   verifier_ = is_initiator ? to_initiator : to_acceptor;
   state_ = State::kOpen;
   handshake_timer_.Cancel();
-  handshake_queue_bytes_ = 0;
-  for (const std::string& payload : std::exchange(handshake_queue_, {})) {
-    Send(payload);
-  }
+  WriteFrames();
   if (callbacks_.on_open) {
     callbacks_.on_open();
   }
 }
 
-void PeerStream::DeliverPayloads() {
+void PeerStream::DeliverFrames() {
   while (state_ == State::kOpen) {
-    const auto payload = reader_.TakePayload(*verifier_);
-    if (!payload) {
+    const auto frame = reader_.TakePayload(*verifier_);
+    if (!frame) {
       break;
     }
-    if (callbacks_.on_message) {
-      loop_.RunGuarded([&] { callbacks_.on_message(*payload); });
+    bool valid = false;
+    try {
+      valid = OnFrame(*frame);
+    } catch (const wire::DecodeError&) {
+      // Handled like any other frame that violates the protocol.
+    }
+    if (!valid) {
+      ++resources_.drops.malformed;
+      Close();
     }
   }
   if (reader_.failed()) {
     Close();
   }
+  if (state_ == State::kOpen) {
+    WriteFrames();
+  }
+}
+
+bool PeerStream::OnFrame(std::string_view frame) {
+  if (frame.empty()) {
+    return false;
+  }
+  const std::string_view body = frame.substr(1);
+  switch (static_cast<FrameKind>(frame.front())) {
+    case FrameKind::kMessage:
+      Deliver(body);
+      return true;
+    case FrameKind::kPart:
+      return OnPart(body, /*last=*/false);
+    case FrameKind::kLastPart:
+      return OnPart(body, /*last=*/true);
+    case FrameKind::kOffer: {
+      const auto header = wire::Decode<TransferHeader>(body);
+      return receiver_.OnOffer(header.transfer, header.bytes);
+    }
+    case FrameKind::kWithdrawn:
+      receiver_.OnWithdrawn(wire::Decode<TransferHeader>(body).transfer);
+      return true;
+    case FrameKind::kAccept:
+      sender_.OnAccepted(wire::Decode<TransferHeader>(body).transfer);
+      return true;
+    case FrameKind::kCredit:
+      sender_.OnCredit(wire::Decode<TransferHeader>(body).bytes);
+      return true;
+  }
+  return false;
+}
+
+bool PeerStream::OnPart(std::string_view body, bool last) {
+  const auto header = wire::Decode<TransferHeader>(body.substr(0, kTransferHeaderBytes));
+  const PartResult result =
+      receiver_.OnPart(header.transfer, body.substr(kTransferHeaderBytes), last);
+  return std::visit(Overloaded{[this](const AssembledMessage& message) {
+                                 Deliver(message.payload);
+                                 return true;
+                               },
+                               [](const PartsMissing&) { return true; },
+                               [](const InvalidPart&) { return false; }},
+                    result);
+}
+
+void PeerStream::Deliver(std::string_view payload) {
+  if (callbacks_.on_message) {
+    loop_.RunGuarded([&] { callbacks_.on_message(payload); });
+  }
 }
 
 std::size_t PeerStream::undelivered_bytes() const {
@@ -157,24 +218,72 @@
   return pending_.size() + (writing_ ? sending_.size() : 0) + ReadSocketState(fd).undelivered_bytes;
 }
 
-void PeerStream::Send(std::string_view payload) {
+bool PeerStream::CheckPendingBytes() {
+  if (pending_.size() + sender_.ready_bytes() > kMaxPendingBytes) {
+    Close();
+    return false;
+  }
+  return true;
+}
+
+void PeerStream::Send(MessageStreamId stream, std::string_view payload) {
   if (state_ == State::kClosed) {
     return;
   }
-  if (payload.size() > wire::kMaxFrameBytes) {
-    throw MessageTooLargeError(
-        "message exceeds the frame size limit: " + std::to_string(payload.size()) + " bytes");
+  if (payload.size() > wire::kMaxMessageBytes) {
+    throw MessageTooLargeError("message of " + std::to_string(payload.size()) +
+                               " bytes exceeds the limit of " +
+                               std::to_string(wire::kMaxMessageBytes));
   }
-  if (pending_bytes() > kMaxPendingBytes) {
-    Close();
+  if (!CheckPendingBytes()) {
     return;
   }
-  if (!signer_) {
-    handshake_queue_bytes_ += payload.size();
-    handshake_queue_.emplace_back(payload);
+  if (state_ == State::kOpen && !framing_ && !sender_.IsBlocked(stream) &&
+      payload.size() <= wire::kMaxWholeMessageBytes) {
+    AppendFrame(pending_, *signer_, MakeFrame(FrameKind::kMessage, payload));
+    Flush();
+    return;
+  }
+  sender_.Add(stream, std::string(payload));
+  WriteFrames();
+}
+
+void PeerStream::SendDeferred(DeferredMessage message) {
+  if (state_ == State::kClosed || !CheckPendingBytes()) {
+    return;
+  }
+  // Runs within callbacks of the socket, where nothing else catches its exceptions.
+  message.encode = [this, encode = std::move(message.encode)] {
+    std::optional<std::string> payload;
+    loop_.RunGuarded([&] { payload = encode(); });
+    return payload;
+  };
+  sender_.Add(std::move(message));
+  WriteFrames();
+}
+
+void PeerStream::Withdraw(MessageStreamId stream) {
+  sender_.Withdraw(stream);
+  WriteFrames();
+}
+
+void PeerStream::WriteFramesOf(const std::weak_ptr<PeerStream>& stream) {
+  if (const auto live = stream.lock()) {
+    live->WriteFrames();
+  }
+}
+
+void PeerStream::WriteFrames() {
+  if (state_ != State::kOpen || std::exchange(framing_, true)) {
     return;
   }
-  AppendFrame(pending_, *signer_, payload);
+  while (const auto frame = receiver_.Next()) {
+    AppendFrame(pending_, *signer_, *frame);
+  }
+  while (const auto frame = sender_.Next()) {
+    AppendFrame(pending_, *signer_, *frame);
+  }
+  framing_ = false;
   Flush();
 }
 
@@ -214,8 +323,8 @@
   state_ = State::kClosed;
   handshake_timer_.Cancel();
   pending_.clear();
-  handshake_queue_.clear();
-  handshake_queue_bytes_ = 0;
+  sender_.Clear();
+  receiver_.Clear();
   uv_close(reinterpret_cast<uv_handle_t*>(&socket_), [](uv_handle_t* handle) {
     const std::shared_ptr<PeerStream> self =
         std::move(static_cast<PeerStream*>(handle->data)->self_);
--- a/src/net/peer_test.cc
+++ b/src/net/peer_test.cc
@@ -3,6 +3,7 @@
 #include "acaciaspring/net.h"
 #include "acaciaspring/wire.h"
 #include "src/net/frame_reader.h"
+#include "src/net/message_parts.h"
 #include "src/net/test_support.h"
 
 namespace acaciaspring::net {
@@ -37,8 +38,8 @@
               accepted_peers.back()->connection = std::move(connection);
               return accepted_peers.back()->Callbacks();
             },
-            drops) {}
-  DropCounters drops;
+            resources) {}
+  PeerResources resources;
   std::vector<std::unique_ptr<TestPeer>> accepted_peers;
   PeerListener listener;
 };
@@ -74,16 +75,16 @@
 BOOST_AUTO_TEST_SUITE(peer)
 
 // Guards against messages that are lost, truncated or reordered, including messages sent before the
-// handshake, empty messages and messages of maximum size.
+// handshake, empty messages and messages of many frames.
 BOOST_AUTO_TEST_CASE(messages_are_delivered_completely_and_in_order) {
   Loop loop;
   Acceptor acceptor(loop);
-  DropCounters drops;
+  PeerResources resources;
   TestPeer initiator;
   initiator.connection =
-      ConnectPeer(loop, acceptor.listener.address(), kKey, initiator.Callbacks(), drops);
+      ConnectPeer(loop, acceptor.listener.address(), kKey, initiator.Callbacks(), resources);
   BOOST_TEST(!initiator.connection->open());
-  std::vector<std::string> sent = {"early", "", std::string(wire::kMaxFrameBytes, 'x'), "late"};
+  std::vector<std::string> sent = {"early", "", std::string(std::size_t{24} << 20, 'x'), "late"};
   for (const std::string& message : sent) {
     initiator.connection->Send(message);
   }
@@ -102,19 +103,19 @@
   for (int i = 0; i < 1000; ++i) {
     BOOST_TEST(initiator.messages[static_cast<std::size_t>(i)] == std::to_string(i));
   }
-  BOOST_CHECK_THROW(initiator.connection->Send(std::string(wire::kMaxFrameBytes + 1, 'x')),
+  BOOST_CHECK_THROW(initiator.connection->Send(std::string(wire::kMaxMessageBytes + 1, 'x')),
                     MessageTooLargeError);
-  BOOST_TEST(acceptor.drops.bad_mac + drops.bad_mac == 0U);
+  BOOST_TEST(acceptor.resources.drops.bad_mac + resources.drops.bad_mac == 0U);
 }
 
 // Guards against a closed connection that is not reported to one of its ends, or reported twice.
 BOOST_AUTO_TEST_CASE(close_is_reported_once_to_both_ends) {
   Loop loop;
   Acceptor acceptor(loop);
-  DropCounters drops;
+  PeerResources resources;
   TestPeer initiator;
   initiator.connection =
-      ConnectPeer(loop, acceptor.listener.address(), kKey, initiator.Callbacks(), drops);
+      ConnectPeer(loop, acceptor.listener.address(), kKey, initiator.Callbacks(), resources);
   RunUntil(loop, [&] { return initiator.opened == 1 && acceptor.accepted_peers.size() == 1; });
   initiator.connection->Close();
   initiator.connection->Close();
@@ -134,12 +135,12 @@
 // Guards against a failed connection attempt that is not reported, so that it is never retried.
 BOOST_AUTO_TEST_CASE(failed_connect_is_reported) {
   Loop loop;
-  DropCounters drops;
+  PeerResources resources;
   const Address unused = RawServer(loop).address();
   TestPeer initiator;
   // The listening socket at `unused` is closed in the next iteration.
   loop.Post([&] {
-    initiator.connection = ConnectPeer(loop, unused, kKey, initiator.Callbacks(), drops);
+    initiator.connection = ConnectPeer(loop, unused, kKey, initiator.Callbacks(), resources);
     initiator.connection->Send("never sent");
   });
   RunUntil(loop, [&] { return initiator.closed == 1; });
@@ -150,10 +151,10 @@
 BOOST_AUTO_TEST_CASE(destroyed_connection_makes_no_callbacks) {
   Loop loop;
   Acceptor acceptor(loop);
-  DropCounters drops;
+  PeerResources resources;
   TestPeer initiator;
   initiator.connection =
-      ConnectPeer(loop, acceptor.listener.address(), kKey, initiator.Callbacks(), drops);
+      ConnectPeer(loop, acceptor.listener.address(), kKey, initiator.Callbacks(), resources);
   RunUntil(loop, [&] { return initiator.opened == 1 && acceptor.accepted_peers.size() == 1; });
   acceptor.accepted_peers[0]->connection->Send("last");
   initiator.connection.reset();
@@ -165,7 +166,7 @@
 // Guards against use after free when a connection is destroyed by its own message callback.
 BOOST_AUTO_TEST_CASE(connection_may_be_destroyed_by_its_callback) {
   Loop loop;
-  DropCounters drops;
+  PeerResources resources;
   PeerConnectionPtr accepted;
   int messages = 0;
   PeerListener listener(
@@ -180,9 +181,10 @@
                                  },
                              .on_closed = {}};
       },
-      drops);
+      resources);
   TestPeer initiator;
-  initiator.connection = ConnectPeer(loop, listener.address(), kKey, initiator.Callbacks(), drops);
+  initiator.connection =
+      ConnectPeer(loop, listener.address(), kKey, initiator.Callbacks(), resources);
   initiator.connection->Send("one");
   initiator.connection->Send("two");
   RunUntil(loop, [&] { return initiator.closed == 1; });
@@ -198,7 +200,7 @@
   peer.connection.Send(Frame(forger, "forged"));
   RunUntil(loop,
            [&] { return acceptor.accepted_peers[0]->closed == 1 && peer.connection.ended(); });
-  BOOST_TEST(acceptor.drops.bad_mac == 1U);
+  BOOST_TEST(acceptor.resources.drops.bad_mac == 1U);
   BOOST_TEST(acceptor.accepted_peers[0]->messages.empty());
 }
 
@@ -208,11 +210,11 @@
   Acceptor acceptor(loop);
   RawPeer peer(loop, acceptor);
   auto signer = peer.Signer();
-  const std::string frame = Frame(signer, "once");
+  const std::string frame = Frame(signer, MakeFrame(FrameKind::kMessage, "once"));
   peer.connection.Send(frame);
   peer.connection.Send(frame);
   RunUntil(loop, [&] { return acceptor.accepted_peers[0]->closed == 1; });
-  BOOST_TEST(acceptor.drops.bad_mac == 1U);
+  BOOST_TEST(acceptor.resources.drops.bad_mac == 1U);
   BOOST_TEST(acceptor.accepted_peers[0]->messages == std::vector<std::string>{"once"},
              boost::test_tools::per_element());
 }
@@ -231,7 +233,7 @@
   RawPeer peer(loop, acceptor);
   peer.connection.Send(recorded);
   RunUntil(loop, [&] { return acceptor.accepted_peers[0]->closed == 1; });
-  BOOST_TEST(acceptor.drops.bad_mac == 1U);
+  BOOST_TEST(acceptor.resources.drops.bad_mac == 1U);
   BOOST_TEST(acceptor.accepted_peers[0]->messages.empty());
 }
 
@@ -245,7 +247,7 @@
   RunUntil(loop, [&] { return !peer.connection.received().empty(); });
   peer.connection.Send(peer.connection.received());
   RunUntil(loop, [&] { return acceptor.accepted_peers[0]->closed == 1; });
-  BOOST_TEST(acceptor.drops.bad_mac == 1U);
+  BOOST_TEST(acceptor.resources.drops.bad_mac == 1U);
 }
 
 // Guards against memory that grows with the declared length of a frame.
@@ -255,7 +257,7 @@
   RawPeer peer(loop, acceptor);
   peer.connection.Send(std::string("\xff\xff\xff\xff", 4));
   RunUntil(loop, [&] { return acceptor.accepted_peers[0]->closed == 1; });
-  BOOST_TEST(acceptor.drops.oversized == 1U);
+  BOOST_TEST(acceptor.resources.drops.oversized == 1U);
 }
 
 // Guards against delivery of an incomplete frame, and against loss of frames that arrive in parts.
