Keep outdated entries of the endpoint registry out of use

Cause: the registry lists the record written last, and that was taken for the newest of its writer. ParseRegistryEntry read no sequence, and EndpointRegistry took whatever was listed, so a late "ready" revived a draining endpoint, also after its entry had been removed, and a late "draining" of an earlier start took a running one out.

Change: NewestEntries orders the entries of an endpoint by start and sequence. An outdated one is replaced by the newest for as long as a running endpoint needs to write again, and is then left out. A later start is used at once. Entries without a start or a sequence are used as before. The event outdated_entry names both entries.

Why it works: the order is the writer's own, so the time at which a write is executed no longer matters.

--- a/include/acaciaspring/gateway.h
+++ b/include/acaciaspring/gateway.h
@@ -91,6 +91,9 @@
 
 enum class EndpointState : std::uint8_t { kReady, kDraining };
 
+/// @brief Number of an entry that an endpoint has written; increases within one start.
+using EntrySequence = StrongNumber<struct EntrySequenceTag>;
+
 /// @brief An endpoint as listed in the endpoint registry.
 struct RegisteredEndpoint {
   EndpointId id = {};
@@ -100,8 +103,14 @@
   /// Concurrent calls at which the endpoint counts as fully loaded.
   std::uint32_t slots = 1;
   EndpointState state = EndpointState::kReady;
-  /// Start time of the endpoint; distinguishes two runs under the same id.
+  /// Start time of the endpoint; distinguishes two runs under the same id. 0 if it is unknown.
   std::int64_t started_at_ms = 0;
+  /// Absent if it is unknown.
+  std::optional<EntrySequence> sequence = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, service, address, zone, slots, state, started_at_ms, sequence);
+  }
 };
 
 /// @brief A daemon of the cluster and its addresses.
--- a/src/gateway/endpoint_registry.cc
+++ b/src/gateway/endpoint_registry.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/endpoint_registry.h"
 
+#include <utility>
+
 namespace acaciaspring::gateway {
 
 namespace {
@@ -13,7 +15,8 @@
 
 }  // namespace
 
-void EndpointRegistry::Update(const std::vector<RegisteredEndpoint>& listed, MonotonicTime now) {
+std::vector<OutdatedEntry> EndpointRegistry::Update(const std::vector<RegisteredEndpoint>& listed,
+                                                    MonotonicTime now) {
   if (last_read_at_ && now - *last_read_at_ > kOutageThreshold) {
     grace_period_end_ = now + kRecoveryGracePeriod;
   }
@@ -25,10 +28,23 @@
   } else {
     missing_.clear();
   }
-  listed_ = listed;
-  for (const RegisteredEndpoint& endpoint : listed_) {
+  contents_ = listed;
+  return ApplyContents(now);
+}
+
+std::vector<OutdatedEntry> EndpointRegistry::Learn(const std::vector<SeenEndpoint>& seen,
+                                                   MonotonicTime now) {
+  newest_.Learn(seen, now);
+  return last_read_at_ ? ApplyContents(now) : std::vector<OutdatedEntry>();
+}
+
+std::vector<OutdatedEntry> EndpointRegistry::ApplyContents(MonotonicTime now) {
+  NewestEntries::Listing listing = newest_.OnListed(contents_, now);
+  listed_ = std::move(listing.endpoints);
+  for (const RegisteredEndpoint& endpoint : contents_) {
     missing_.erase(endpoint.id);
   }
+  return std::move(listing.outdated);
 }
 
 std::vector<RegisteredEndpoint> EndpointRegistry::Endpoints(MonotonicTime now) const {
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -48,6 +48,31 @@
   }
 }
 
+void Gateway::Impl::OnSeenEndpoints(const std::vector<SeenEndpoint>& seen) {
+  LogOutdated(endpoint_registry.Learn(seen, context.loop.Now()));
+  if (endpoints_known) {
+    ApplyEndpoints();
+  }
+}
+
+void Gateway::Impl::LogOutdated(const std::vector<OutdatedEntry>& outdated) {
+  const auto sequence = [](const RegisteredEndpoint& entry) {
+    return entry.sequence ? static_cast<std::int64_t>(entry.sequence->value()) : -1;
+  };
+  for (const OutdatedEntry& entry : outdated) {
+    context.events.Write(
+        "outdated_entry",
+        {{"endpoint", entry.listed.id.value()},
+         {"started_at_ms", entry.listed.started_at_ms},
+         {"sequence", sequence(entry.listed)},
+         {"newest_started_at_ms", entry.newest.started_at_ms},
+         {"newest_sequence", sequence(entry.newest)},
+         {"newest_state", entry.removed                                 ? "gone"
+                          : entry.newest.state == EndpointState::kReady ? "ready"
+                                                                        : "draining"}});
+  }
+}
+
 void Gateway::Impl::LogEndpointChanges(const std::vector<RegisteredEndpoint>& listed) {
   std::unordered_map<EndpointId, EndpointState> states;
   for (const RegisteredEndpoint& endpoint : listed) {
@@ -90,7 +115,7 @@
 
 void Gateway::SetEndpoints(const std::vector<RegisteredEndpoint>& endpoints) {
   impl_->endpoints_known = true;
-  impl_->endpoint_registry.Update(endpoints, impl_->context.loop.Now());
+  impl_->LogOutdated(impl_->endpoint_registry.Update(endpoints, impl_->context.loop.Now()));
   impl_->ApplyEndpoints();
 }
 
--- a/src/gateway/gateway_cluster.cc
+++ b/src/gateway/gateway_cluster.cc
@@ -41,6 +41,8 @@
               [this](const DaemonId& daemon, const PeerCrashReports& reports) {
                 context.crashes.OnReports(daemon, reports);
               },
+          .on_seen_endpoints =
+              [this](const PeerSeenEndpoints& seen) { OnSeenEndpoints(seen.endpoints); },
           .on_message =
               [this](const DaemonId& daemon, PeerMessage message, const ReplyFunction& reply) {
                 if (!configuration_exchange.OnMessage(message, reply) &&
@@ -60,6 +62,10 @@
                 if (!crashes.crashes.empty()) {
                   links->Send(daemon, std::move(crashes));
                 }
+                PeerSeenEndpoints seen{.endpoints = endpoint_registry.Seen(context.loop.Now())};
+                if (!seen.endpoints.empty()) {
+                  links->Send(daemon, std::move(seen));
+                }
               },
           .on_disconnected =
               [this](const DaemonId& daemon) {
--- a/src/gateway/gateway_impl.h
+++ b/src/gateway/gateway_impl.h
@@ -69,6 +69,9 @@
   Duration TimeoutFor(const CallerRequest& request, const Route& route) const;
   /// @brief Applies the endpoints to use at this time.
   void ApplyEndpoints();
+  /// @brief Applies what another daemon has seen of endpoints.
+  void OnSeenEndpoints(const std::vector<SeenEndpoint>& seen);
+  void LogOutdated(const std::vector<OutdatedEntry>& outdated);
   void LogEndpointChanges(const std::vector<RegisteredEndpoint>& listed);
 
   Context context;
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -135,6 +135,10 @@
     handlers_.on_crashes(id, *crashes);
     return;
   }
+  if (const auto* seen = std::get_if<PeerSeenEndpoints>(&*message)) {
+    handlers_.on_seen_endpoints(*seen);
+    return;
+  }
   const std::weak_ptr<Incoming> weak = incoming;
   handlers_.on_message(id, std::move(*message),
                        ReplyFunction(
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -55,6 +55,7 @@
   std::function<void(const DaemonId&, const PeerDemand&)> on_demand = {};
   std::function<void(const DaemonId&, const PeerRateLimits&)> on_rate_limits = {};
   std::function<void(const DaemonId&, const PeerCrashReports&)> on_crashes = {};
+  std::function<void(const PeerSeenEndpoints&)> on_seen_endpoints = {};
   /// Called for all other messages.
   std::function<void(const DaemonId&, PeerMessage, const ReplyFunction&)> on_message = {};
   /// The connection to the daemon opened.
--- a/src/gateway/peer_messages.h
+++ b/src/gateway/peer_messages.h
@@ -14,6 +14,7 @@
 #include "acaciaspring/wire.h"
 #include "src/gateway/crash_monitor.h"
 #include "src/gateway/endpoint_table.h"
+#include "src/gateway/newest_entries.h"
 #include "src/gateway/response_sink.h"
 
 namespace acaciaspring::gateway {
@@ -256,6 +257,16 @@
   }
 };
 
+/// @brief Sent when a connection opens, so that a daemon that has just started recognises outdated
+/// entries of the endpoint registry.
+struct PeerSeenEndpoints {
+  std::vector<SeenEndpoint> endpoints = {};
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(endpoints);
+  }
+};
+
 using PeerPermitRequest = organisations::PermitRequest;
 using PeerPermitGrant = organisations::PermitGrant;
 
@@ -280,7 +291,8 @@
                                  ConfigurationReply,
                                  PeerPermitRequest,
                                  PeerPermitGrant,
-                                 ChainFetch>;
+                                 ChainFetch,
+                                 PeerSeenEndpoints>;
 
 std::string EncodePeerMessage(const PeerMessage& message);
 /// @brief Throws wire::DecodeError if the message is malformed.
