Take only later signs of life for a running endpoint

Cause: an entry of an earlier start was taken for one of a running endpoint if its count was higher than at the first listing 10 s before. A daemon that reads nothing in between sees two late writes that way, and the rule also applied to entries of the same start, whose count never goes back. Found on reading; no run showed it.

Change: the count must advance after the 10 s, and only entries of an earlier start are considered.

Measured: newest_entries/late_entries_after_a_gap_are_not_taken_for_a_ running_endpoint and the other cases of the suite pass.

--- a/src/gateway/newest_entries.cc
+++ b/src/gateway/newest_entries.cc
@@ -27,13 +27,17 @@
   return entry.sequence && newest.sequence && *entry.sequence < *newest.sequence;
 }
 
-bool NewestEntries::IsRunning(const RegisteredEndpoint& entry,
-                              const Outdated& outdated,
-                              MonotonicTime now) {
-  // The clock of the endpoint may have been set back between two starts. By then, no delayed write
-  // of the first one is left.
-  return entry.sequence && outdated.sequence && *entry.sequence > *outdated.sequence &&
-         now - outdated.first_listed_at > kMaxWriteDelay;
+bool NewestEntries::IsRunning(const RegisteredEndpoint& entry, Newest& newest, MonotonicTime now) {
+  // The clock of the endpoint may have been set back between two starts.
+  if (entry.started_at_ms == newest.started_at_ms || !entry.sequence ||
+      now - newest.outdated->first_listed_at <= kMaxWriteDelay) {
+    return false;
+  }
+  std::optional<EntrySequence>& settled = newest.outdated->settled_sequence;
+  if (!settled) {
+    settled = entry.sequence;
+  }
+  return *entry.sequence > *settled;
 }
 
 void NewestEntries::Accept(const RegisteredEndpoint& entry, Newest& newest) {
@@ -62,13 +66,11 @@
     newest.last_listed_at = now;
     if (!is_new && IsOutdated(entry, newest)) {
       if (!newest.outdated || newest.outdated->started_at_ms != entry.started_at_ms) {
-        newest.outdated = {.started_at_ms = entry.started_at_ms,
-                           .sequence = entry.sequence,
-                           .first_listed_at = now};
+        newest.outdated = {.started_at_ms = entry.started_at_ms, .first_listed_at = now};
         result.outdated.push_back(
             {.listed = entry, .newest = newest.entry, .removed = !newest.listed});
       }
-      if (!IsRunning(entry, *newest.outdated, now)) {
+      if (!IsRunning(entry, newest, now)) {
         if (newest.listed && now - newest.outdated->first_listed_at <= kReplacementPeriod) {
           current.insert(entry.id);
           result.endpoints.push_back(newest.entry);
--- a/src/gateway/newest_entries.h
+++ b/src/gateway/newest_entries.h
@@ -57,8 +57,9 @@
   /// @brief An outdated entry that is listed.
   struct Outdated {
     std::int64_t started_at_ms = 0;
-    std::optional<EntrySequence> sequence;
     MonotonicTime first_listed_at;
+    /// As listed once no delayed write is left.
+    std::optional<EntrySequence> settled_sequence = {};
   };
   struct Newest {
     RegisteredEndpoint entry;
@@ -72,10 +73,9 @@
   };
 
   static bool IsOutdated(const RegisteredEndpoint& entry, const Newest& newest);
-  /// @brief True if an entry that seems outdated must be of a running endpoint.
-  static bool IsRunning(const RegisteredEndpoint& entry,
-                        const Outdated& outdated,
-                        MonotonicTime now);
+  /// @brief True if an entry of an earlier start must be of a running endpoint, because its count
+  /// still advances.
+  static bool IsRunning(const RegisteredEndpoint& entry, Newest& newest, MonotonicTime now);
   /// @brief Makes an entry the newest one. Its order is kept only if it has one.
   static void Accept(const RegisteredEndpoint& entry, Newest& newest);
 
--- a/src/gateway/newest_entries_test.cc
+++ b/src/gateway/newest_entries_test.cc
@@ -122,6 +122,19 @@
   BOOST_TEST(!IsReady());
 }
 
+// Guards against a daemon that takes a late write for a sign of life, because it has not read the
+// registry for a while.
+BOOST_AUTO_TEST_CASE(late_entries_after_a_gap_are_not_taken_for_a_running_endpoint) {
+  for (const std::int64_t started : {4, 5}) {
+    entries = NewestEntries();
+    Read(Entry(5, 9, kDraining));
+    Read(Entry(started, 6));
+    now += std::chrono::minutes(1);
+    ReadFor(Entry(started, 8), std::chrono::minutes(1));
+    BOOST_TEST(!uses_ready);
+  }
+}
+
 // Guards against entries that are left out because a field that only orders them is missing.
 BOOST_AUTO_TEST_CASE(entries_without_an_order_are_used) {
   RegisteredEndpoint no_sequence = Entry(5, 0);
