Log messages to other daemons that are too large, and send queries first

Cause: a deferred message above 256 MiB was dropped without a word, so that its sender waited until its deadline. A search kept a reference to its state while the local search could end it.

Change: both ways to send check the size, log it and return false. The local search starts last.

Measured: chain_search/*, long_chain/* and peer_response/* pass.

--- a/src/gateway/chain_search.cc
+++ b/src/gateway/chain_search.cc
@@ -24,10 +24,6 @@
   search.deadline = deadline;
   search.timer =
       context_.loop.After(kSearchTimeout, [this, id] { FinishIncomplete(id, "no_reply"); });
-  SearchLocal(turn, [this, id](ChainReply reply) {
-    reply.exchange = id;
-    OnReply(context_.options.self.id, std::move(reply));
-  });
   if (PeerLinks* links = links_(); links != nullptr) {
     for (const DaemonId& peer : links->OpenPeers()) {
       if (links->Send(peer, ChainQuery{.exchange = id, .turn = turn})) {
@@ -35,6 +31,10 @@
       }
     }
   }
+  SearchLocal(turn, [this, id](ChainReply reply) {
+    reply.exchange = id;
+    OnReply(context_.options.self.id, std::move(reply));
+  });
 }
 
 void ChainSearch::HandleQuery(const ChainQuery& query, const ReplyFunction& reply) {
--- a/src/gateway/peer_links.cc
+++ b/src/gateway/peer_links.cc
@@ -252,20 +252,30 @@
     // The request need not arrive first.
     connection->Withdraw(StreamOf(message));
   }
-  try {
-    SendEncoded(*connection, message);
-  } catch (const net::MessageTooLargeError& error) {
-    context_.events.Write("peer_message_too_large",
-                          {{"peer", daemon.value()}, {"fault", std::string(error.what())}});
+  const std::string payload = EncodePeerMessage(message);
+  if (payload.size() > wire::kMaxMessageBytes) {
+    LogTooLarge(daemon, payload.size());
     return false;
   }
+  connection->Send(StreamOf(message), payload);
   return true;
 }
 
+void PeerLinks::LogTooLarge(const DaemonId& daemon, std::size_t bytes) {
+  context_.events.Write("peer_message_too_large",
+                        {{"peer", daemon.value()},
+                         {"bytes", static_cast<std::int64_t>(bytes)},
+                         {"limit_bytes", static_cast<std::int64_t>(wire::kMaxMessageBytes)}});
+}
+
 bool PeerLinks::Defer(const DaemonId& daemon, DeferredPeerMessage message) {
   if (!IsOpen(daemon)) {
     return false;
   }
+  if (message.bytes > wire::kMaxMessageBytes) {
+    LogTooLarge(daemon, message.bytes);
+    return false;
+  }
   SendDeferred(*outgoing_.at(daemon).connection, std::move(message));
   return true;
 }
--- a/src/gateway/peer_links.h
+++ b/src/gateway/peer_links.h
@@ -145,6 +145,7 @@
   void OnIncoming(const std::shared_ptr<Incoming>& incoming, std::string_view payload);
   void OnOutgoingMessage(const DaemonId& daemon, std::string_view payload);
   std::optional<PeerMessage> Decode(std::string_view payload);
+  void LogTooLarge(const DaemonId& daemon, std::size_t bytes);
 
   Context& context_;
   HeartbeatPeriods periods_;
